--- /dev/null
+++ b/src/snipecart/core/pipe.py
@@ -0,0 +1,31 @@
+"""Join filters into a pipeline that stops at the first failure."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import Any
+
+from expression import Ok
+from expression import Result
+
+from .failures import Failure
+
+Filter = Callable[[Any], Result[Any, Failure]]
+
+
+class Pipe:
+    """Run a message through filters in order."""
+
+    def __init__(self, filters: Sequence[Filter]) -> None:
+        self.filters = tuple(filters)
+
+    def run(self, message: Any) -> Result[Any, Failure]:
+        """Return the last filter's message, or the first failure."""
+        passed: Result[Any, Failure] = Ok(message)
+        for step in self.filters:
+            passed = step(message)
+            if passed.is_error():
+                break
+            message = passed.ok
+        return passed
--- /dev/null
+++ b/src/snipecart/core/registry.py
@@ -0,0 +1,51 @@
+"""Keep behaviours that vary under names, filled by decorators."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import Generic
+from typing import TypeVar
+
+K = TypeVar("K")
+V = TypeVar("V")
+
+
+class DuplicateEntry(Exception):
+    """Report a second registration under one key."""
+
+
+class UnknownEntry(Exception):
+    """Report a look-up of a key that was never registered."""
+
+
+class Registry(Generic[K, V]):
+    """Map keys to behaviours."""
+
+    def __init__(self, title: str) -> None:
+        self.title = title
+        self._entries: dict[K, V] = {}
+
+    def register(self, key: K) -> Callable[[V], V]:
+        """Decorate a behaviour to file it under a key."""
+
+        def file(entry: V) -> V:
+            if key in self._entries:
+                raise DuplicateEntry(f"{self.title}: {key}")
+            self._entries[key] = entry
+            return entry
+
+        return file
+
+    def get(self, key: K) -> V:
+        """Return the behaviour under a key, or raise UnknownEntry."""
+        try:
+            return self._entries[key]
+        except KeyError:
+            raise UnknownEntry(f"{self.title}: {key}") from None
+
+    def __contains__(self, key: K) -> bool:
+        return key in self._entries
+
+    def __iter__(self) -> Iterator[K]:
+        return iter(self._entries)
--- /dev/null
+++ b/src/snipecart/core/task.py
@@ -0,0 +1,130 @@
+"""Run tasks that own their state and talk by messages."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from queue import Empty
+from queue import Full
+from queue import Queue
+from typing import Any
+from typing import Generic
+from typing import TypeVar
+
+from .events import TASK_FAILED
+from .events import emit
+from .ids import Instant
+
+M = TypeVar("M")
+
+MAILBOX_SIZE = 4096
+"""Messages."""
+
+BATCH_SIZE = 256
+"""Messages handled between two looks at the clock."""
+
+IDLE_WAIT = 1.0
+"""Seconds a task with no deadline blocks at a time."""
+
+
+class Stop:
+    """Ask a task to end."""
+
+
+class Mailbox(Generic[M]):
+    """Hold messages for one task, bounded."""
+
+    def __init__(self, size: int = MAILBOX_SIZE) -> None:
+        self._queue: Queue[M] = Queue(size)
+
+    def post(self, message: M) -> bool:
+        """Add a message; return False where the mailbox is full."""
+        try:
+            self._queue.put_nowait(message)
+        except Full:
+            return False
+        return True
+
+    def take(self, wait: float, most: int = BATCH_SIZE) -> list[M]:
+        """Block up to ``wait`` seconds for a first message, then drain."""
+        batch: list[M] = []
+        try:
+            batch.append(self._queue.get(timeout=max(wait, 0.0005)))
+            while len(batch) < most:
+                batch.append(self._queue.get_nowait())
+        except Empty:
+            pass
+        return batch
+
+
+class Task:
+    """Own a thread, a mailbox and whatever state a subclass adds."""
+
+    def __init__(self, name: str, mailbox_size: int = MAILBOX_SIZE) -> None:
+        self.name = name
+        self.mailbox: Mailbox[Any] = Mailbox(mailbox_size)
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+
+    def handle(self, batch: list[Any], now: Instant) -> None:
+        """Handle a batch of messages, which may be empty."""
+        raise NotImplementedError
+
+    def next_wait(self, now: Instant) -> float:
+        """Return how many seconds the task may block."""
+        return IDLE_WAIT
+
+    def close(self) -> None:
+        """Release what the task owns."""
+
+    def post(self, message: Any) -> bool:
+        """Post to the task's mailbox."""
+        return self.mailbox.post(message)
+
+    def start(self) -> None:
+        """Start the task's thread."""
+        self._thread.start()
+
+    def stop(self, grace: float = 5.0) -> None:
+        """Ask the task to end and wait up to ``grace`` seconds."""
+        self._stopping.set()
+        self.mailbox.post(Stop())
+        if self._thread.is_alive():
+            self._thread.join(grace)
+
+    def _run(self) -> None:
+        try:
+            while not self._stopping.is_set():
+                wait = self.next_wait(monotonic())
+                batch = self.mailbox.take(wait)
+                self._handle([m for m in batch if not isinstance(m, Stop)])
+        finally:
+            self.close()
+
+    def _handle(self, batch: list[Any]) -> None:
+        try:
+            self.handle(batch, monotonic())
+        except Exception as exc:
+            emit(TASK_FAILED, task=self.name, error=repr(exc))
+            raise
+
+
+def monotonic() -> Instant:
+    """Read the monotonic clock in seconds."""
+    return Instant(time.monotonic())
+
+
+@contextmanager
+def running(*tasks: Task) -> Iterator[None]:
+    """Start tasks in order and stop them in reverse."""
+    started: list[Task] = []
+    try:
+        for task in tasks:
+            task.start()
+            started.append(task)
+        yield
+    finally:
+        for task in reversed(started):
+            task.stop()
--- /dev/null
+++ b/src/snipecart/messages/commands.py
@@ -0,0 +1,134 @@
+"""Declare the commands the replicated log carries, and their answers."""
+
+from __future__ import annotations
+
+from ..core.ids import AttemptId
+from ..core.ids import Digest
+from ..core.ids import LogIndex
+from ..core.ids import MemberId
+from ..core.ids import NodeId
+from ..core.ids import RequestKey
+from ..core.ids import SubmissionId
+from ..core.ids import TextVersion
+from ..core.ids import UnixMillis
+from ..core.ids import VmName
+from ..core.message import message
+from ..core.message import record
+from ..core.states import ClaimVerdict
+from ..core.states import SubmitVerdict
+
+
+@record
+class Node:
+    """Identify a control process and where its peers reach it."""
+
+    node: NodeId
+    vm: VmName
+    host: str
+    port: int
+
+
+@message
+class Noop:
+    """Commit what earlier leaders left in the log."""
+
+
+@message
+class ChangeVoters:
+    """Set who votes on the log and who only learns it."""
+
+    voters: tuple[Node, ...]
+    learners: tuple[Node, ...]
+
+
+@message
+class SubmitText:
+    """Offer a text that follows the base version."""
+
+    submission: SubmissionId
+    base: TextVersion
+    text: bytes
+
+
+@message
+class SubmitAnswer:
+    """Answer a submission, the same for each resend."""
+
+    submission: SubmissionId
+    verdict: SubmitVerdict
+    version: TextVersion
+
+
+@message
+class ClaimKey:
+    """Claim a request key for one dispatch, ever."""
+
+    key: RequestKey
+    scope: str
+    digest: Digest
+    attempt: AttemptId
+    member: MemberId
+    issued: UnixMillis
+
+
+@record
+class RecordedAnswer:
+    """Hold a whole answer of a backend server."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@message
+class ClaimAnswer:
+    """Answer a claim; ``answer`` is meant only where the verdict is answered."""
+
+    key: RequestKey
+    verdict: ClaimVerdict
+    answer: RecordedAnswer
+
+
+@message
+class RecordOutcome:
+    """Record the whole answer under a held claim."""
+
+    key: RequestKey
+    scope: str
+    attempt: AttemptId
+    answer: RecordedAnswer
+
+
+@message
+class SealNotRun:
+    """Seal a held claim as not run and never to be run."""
+
+    key: RequestKey
+    scope: str
+    attempt: AttemptId
+
+
+@message
+class ClaimClosed:
+    """Confirm that a claim holds the outcome that was asked for."""
+
+    key: RequestKey
+    done: bool
+
+
+@message
+class Refused:
+    """Answer a request with a typed failure."""
+
+    reason: str
+    detail: str
+
+
+@record
+class Entry:
+    """Hold one entry of the log; ``command`` is an encoded message."""
+
+    index: LogIndex
+    term: int
+    at: UnixMillis
+    command: bytes
--- /dev/null
+++ b/src/snipecart/wire/codec.py
@@ -0,0 +1,68 @@
+"""Encode typed messages as Cap'n Proto and back."""
+
+from __future__ import annotations
+
+from functools import cache
+from pathlib import Path
+from typing import Any
+
+import capnp
+from expression import Error
+from expression import Ok
+from expression import Result
+from pydantic import TypeAdapter
+from pydantic import ValidationError
+
+from .. import messages
+from ..core.failures import PeerMessageInvalid
+from ..core.message import MESSAGES
+from ..core.message import record
+from ..core.message import wire_name
+
+__all__ = ["MAX_FRAME", "Framed", "decode", "encode", "messages"]
+
+capnp.remove_import_hook()
+SCHEMA = capnp.load(str(Path(__file__).with_name("schema.capnp")))
+
+MAX_FRAME = 64 * 1024 * 1024
+"""Bytes of one encoded message."""
+
+WORD = 8
+"""Bytes of a Cap'n Proto word."""
+
+
+@record
+class Framed:
+    """Join a message to the number that pairs it with its answer; 0 for none."""
+
+    correlation: int
+    message: Any
+
+
+@cache
+def _adapter(name: str) -> TypeAdapter[Any]:
+    return TypeAdapter(MESSAGES.get(name))
+
+
+def encode(message: Any, correlation: int = 0) -> bytes:
+    """Return a message's bytes."""
+    name = wire_name(type(message))
+    fields = _adapter(name).dump_python(message, by_alias=True)
+    envelope = SCHEMA.Envelope.new_message(correlation=correlation, **{name: fields})
+    return envelope.to_bytes()
+
+
+def decode(frame: bytes) -> Result[Framed, PeerMessageInvalid]:
+    """Return the message in a frame, or why it can't be read."""
+    if len(frame) > MAX_FRAME or len(frame) % WORD:
+        return Error(PeerMessageInvalid(f"frame of {len(frame)} bytes"))
+    try:
+        with SCHEMA.Envelope.from_bytes(
+            frame, traversal_limit_in_words=MAX_FRAME // WORD
+        ) as envelope:
+            name = str(envelope.which())
+            fields = getattr(envelope, name).to_dict()
+            correlation = int(envelope.correlation)
+        return Ok(Framed(correlation, _adapter(name).validate_python(fields)))
+    except (capnp.KjException, ValidationError, ValueError) as exc:
+        return Error(PeerMessageInvalid(str(exc).splitlines()[0]))
--- /dev/null
+++ b/src/snipecart/wire/schema.capnp
@@ -0,0 +1,97 @@
+@0xbf5147cbbecf40c1;
+
+struct Node { node @0 :Text; vm @1 :Text; host @2 :Text; port @3 :UInt16; }
+struct Entry { index @0 :UInt64; term @1 :UInt64; at @2 :UInt64; command @3 :Data; }
+struct Noop {}
+struct ChangeVoters { voters @0 :List(Node); learners @1 :List(Node); }
+struct SubmitText { submission @0 :Text; base @1 :UInt64; text @2 :Data; }
+struct SubmitAnswer { submission @0 :Text; verdict @1 :Text; version @2 :UInt64; }
+struct ClaimKey {
+  key @0 :Text; scope @1 :Text; digest @2 :Text; attempt @3 :Text; member @4 :Text;
+  issued @5 :UInt64;
+}
+struct RecordedAnswer { status @0 :UInt16; contentType @1 :Text; body @2 :Data; }
+struct ClaimAnswer { key @0 :Text; verdict @1 :Text; answer @2 :RecordedAnswer; }
+struct RecordOutcome {
+  key @0 :Text; scope @1 :Text; attempt @2 :Text; answer @3 :RecordedAnswer;
+}
+struct SealNotRun { key @0 :Text; scope @1 :Text; attempt @2 :Text; }
+struct ClaimClosed { key @0 :Text; done @1 :Bool; }
+struct Refused { reason @0 :Text; detail @1 :Text; }
+
+struct VoteRequest {
+  preVote @0 :Bool; term @1 :UInt64; candidate @2 :Text; lastIndex @3 :UInt64;
+  lastTerm @4 :UInt64;
+}
+struct VoteAnswer { preVote @0 :Bool; term @1 :UInt64; voter @2 :Text; granted @3 :Bool; }
+struct AppendRequest {
+  term @0 :UInt64; leader @1 :Text; previousIndex @2 :UInt64; previousTerm @3 :UInt64;
+  entries @4 :List(Entry); commit @5 :UInt64; sent @6 :UInt64;
+}
+struct AppendAnswer {
+  term @0 :UInt64; follower @1 :Text; matched @2 :Bool; index @3 :UInt64; sent @4 :UInt64;
+}
+struct SnapshotRequest {
+  term @0 :UInt64; leader @1 :Text; index @2 :UInt64; indexTerm @3 :UInt64;
+  voters @4 :List(Node); learners @5 :List(Node); state @6 :Data; sent @7 :UInt64;
+}
+struct JoinRequest { joiner @0 :Node; }
+struct DiskBatch {
+  term @0 :UInt64; votedFor @1 :Text; cutFrom @2 :UInt64; entries @3 :List(Entry);
+}
+struct DiskSnapshot {
+  index @0 :UInt64; indexTerm @1 :UInt64; voters @2 :List(Node);
+  learners @3 :List(Node); state @4 :Data;
+}
+
+struct RankPort { rank @0 :Text; port @1 :UInt16; }
+struct Member {
+  member @0 :Text; vm @1 :Text; region @2 :Text; zone @3 :Text; host @4 :Text;
+  ports @5 :List(RankPort); state @6 :Text;
+}
+struct Announcement {
+  endpoint @0 :Text; service @1 :Text; region @2 :Text; zone @3 :Text; slots @4 :UInt32;
+  state @5 :Text; lease @6 :UInt32;
+}
+struct Demand { service @0 :Text; slots @1 :Float64; }
+struct Share { resource @0 :Text; amount @1 :UInt32; }
+struct Heartbeat {
+  member @0 :Member; textVersion @1 :UInt64; directoryVersion @2 :UInt64;
+  grantSeen @3 :UInt64; held @4 :List(Share); demands @5 :List(Demand);
+  announcements @6 :List(Announcement);
+}
+struct HeartbeatAnswer {
+  textVersion @0 :UInt64; directoryVersion @1 :UInt64; directorySent @2 :Bool;
+  grant @3 :UInt64; lease @4 :UInt32; shares @5 :List(Share); members @6 :List(Member);
+  endpoints @7 :List(Announcement);
+}
+struct FetchText {}
+struct TextAnswer { version @0 :UInt64; text @1 :Data; }
+
+struct Envelope {
+  correlation @0 :UInt64;
+  union {
+    noop @1 :Noop;
+    changeVoters @2 :ChangeVoters;
+    submitText @3 :SubmitText;
+    submitAnswer @4 :SubmitAnswer;
+    claimKey @5 :ClaimKey;
+    claimAnswer @6 :ClaimAnswer;
+    recordOutcome @7 :RecordOutcome;
+    sealNotRun @8 :SealNotRun;
+    claimClosed @9 :ClaimClosed;
+    refused @10 :Refused;
+    voteRequest @11 :VoteRequest;
+    voteAnswer @12 :VoteAnswer;
+    appendRequest @13 :AppendRequest;
+    appendAnswer @14 :AppendAnswer;
+    snapshotRequest @15 :SnapshotRequest;
+    joinRequest @16 :JoinRequest;
+    diskBatch @17 :DiskBatch;
+    diskSnapshot @18 :DiskSnapshot;
+    heartbeat @19 :Heartbeat;
+    heartbeatAnswer @20 :HeartbeatAnswer;
+    fetchText @21 :FetchText;
+    textAnswer @22 :TextAnswer;
+  }
+}
