--- a/src/snipecart/cli/__init__.py
+++ b/src/snipecart/cli/__init__.py
@@ -0,0 +1,3 @@
+"""Hold the console commands, one to a module."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/snipecart/cli/control.py
@@ -0,0 +1,76 @@
+"""Run a control process."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import click
+
+from ..control.disk.store import AlreadyFounded
+from ..control.disk.store import FolderInUse
+from ..control.disk.store import data_folder
+from ..control.disk.store import found
+from ..control.factory import control_program
+from ..control.factory import founders
+from ..core.events import LOG_CORRUPT
+from ..core.events import emit
+from ..program.run import EXIT_FAILED
+from ..program.run import run_until_stopped
+from ..program.run import settings_or_exit
+from ..program.settings import ControlSettings
+
+SETTINGS = click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(path_type=Path),
+    help="JSON settings file.",
+)
+
+
+@click.group()
+@click.version_option(package_name="snipecart")
+def main() -> None:
+    """Keep snipecart's configuration, claims and leases on a VM with a disk."""
+
+
+@main.command()
+@SETTINGS
+def init(path: Path) -> None:
+    """Found a new log on a blank data folder, once on each founding VM.
+
+    Never run it to replace a lost disk: a blank folder joins by itself.
+    """
+    cfg = settings_or_exit(ControlSettings, path)
+    try:
+        with data_folder(cfg.data) as folder:
+            found(folder, cfg.vm, founders(cfg))
+    except (AlreadyFounded, FolderInUse) as exc:
+        click.echo(f"not founded: {type(exc).__name__} {exc}", err=True)
+        sys.exit(EXIT_FAILED)
+
+
+@main.command()
+@SETTINGS
+def run(path: Path) -> None:
+    """Run until SIGTERM."""
+    cfg = settings_or_exit(ControlSettings, path)
+    sys.exit(
+        run_until_stopped("snipecart-control", cfg.log_level, lambda: _running(cfg))
+    )
+
+
+@contextmanager
+def _running(cfg: ControlSettings) -> Iterator[None]:
+    try:
+        with control_program(cfg) as node:
+            if node.is_error():
+                emit(LOG_CORRUPT, where=node.error.detail)
+                sys.exit(EXIT_FAILED)
+            yield
+    except FolderInUse as exc:
+        click.echo(f"data folder in use: {exc}", err=True)
+        sys.exit(EXIT_FAILED)
--- /dev/null
+++ b/src/snipecart/control/disk/records.py
@@ -0,0 +1,104 @@
+"""Read and write checksummed records in files."""
+
+from __future__ import annotations
+
+import os
+import struct
+import zlib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+from typing import BinaryIO
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from ...core.failures import LogCorrupt
+from ...wire.codec import decode
+from ...wire.codec import encode
+
+HEADER = struct.Struct("<III")
+"""A record's length, its CRC-32, and the CRC-32 of these two."""
+
+LENGTHS = struct.Struct("<II")
+
+
+@dataclass(frozen=True)
+class FoundRecord:
+    """Hold one record and where it ends."""
+
+    message: Any
+    end: int
+
+
+@dataclass(frozen=True)
+class ReadRecords:
+    """Hold the records of a file and where the last whole one ends."""
+
+    messages: tuple[Any, ...]
+    end: int
+    torn: bool
+
+
+def frame_record(message: Any) -> bytes:
+    """Return a record's bytes."""
+    payload = encode(message)
+    lengths = LENGTHS.pack(len(payload), zlib.crc32(payload))
+    return lengths + zlib.crc32(lengths).to_bytes(4, "little") + payload
+
+
+def read_records(path: Path) -> Result[ReadRecords, LogCorrupt]:
+    """Read a file's records; a bad one is torn only if no good one follows it."""
+    data = path.read_bytes() if path.exists() else b""
+    messages: list[Any] = []
+    at = 0
+    while at < len(data):
+        found = _read_one(data, at)
+        if found is None:
+            if any(_read_one(data, later) for later in range(at + 1, len(data))):
+                return Error(LogCorrupt(f"{path.name} at byte {at}"))
+            return Ok(ReadRecords(tuple(messages), at, torn=True))
+        messages.append(found.message)
+        at = found.end
+    return Ok(ReadRecords(tuple(messages), at, torn=False))
+
+
+def _read_one(data: bytes, at: int) -> FoundRecord | None:
+    """Return the whole record at a place, if there is one."""
+    start = at + HEADER.size
+    if len(data) < start:
+        return None
+    length, checksum, header_checksum = HEADER.unpack_from(data, at)
+    if zlib.crc32(data[at : at + LENGTHS.size]) != header_checksum:
+        return None
+    payload = data[start : start + length]
+    if len(payload) < length or zlib.crc32(payload) != checksum:
+        return None
+    framed = decode(payload)
+    return FoundRecord(framed.ok.message, start + length) if framed.is_ok() else None
+
+
+def sync_file(stream: BinaryIO) -> None:
+    """Put a file's written bytes on the disk."""
+    stream.flush()
+    os.fdatasync(stream.fileno())
+
+
+def sync_folder(folder: Path) -> None:
+    """Put a folder's names on the disk."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def replace_file(path: Path, data: bytes) -> None:
+    """Replace a file whole, surviving a crash at any point."""
+    fresh = path.with_name(path.name + ".new")
+    with fresh.open("wb") as stream:
+        stream.write(data)
+        sync_file(stream)
+    fresh.replace(path)
+    sync_folder(path.parent)
--- /dev/null
+++ b/src/snipecart/control/disk/store.py
@@ -0,0 +1,158 @@
+"""Own the data folder of one control process."""
+
+from __future__ import annotations
+
+import fcntl
+import uuid
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from dataclasses import field
+from pathlib import Path
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from ...core.events import LOG_TAIL_CUT
+from ...core.events import emit
+from ...core.failures import Failure
+from ...core.failures import LogCorrupt
+from ...core.ids import LogIndex
+from ...core.ids import NodeId
+from ...core.ids import Term
+from ...core.ids import UnixMillis
+from ...core.ids import VmName
+from ...messages.commands import ChangeVoters
+from ...messages.commands import Entry
+from ...messages.commands import Node
+from ...messages.raft import DiskBatch
+from ...messages.raft import DiskSnapshot
+from .records import frame_record
+from .records import read_records
+from .records import replace_file
+from .records import sync_file
+from .records import sync_folder
+
+IDENTITY = "identity"
+LOG = "log"
+SNAPSHOT = "snapshot"
+LOCK = "lock"
+
+
+class FolderInUse(Exception):
+    """Report a data folder that another process holds."""
+
+
+class AlreadyFounded(Exception):
+    """Report a data folder that already has an identity."""
+
+
+@dataclass
+class Recovered:
+    """Hold what the data folder told at start."""
+
+    node: NodeId
+    term: Term = Term(0)
+    voted_for: NodeId = NodeId("")
+    snapshot: DiskSnapshot | None = None
+    entries: list[Entry] = field(default_factory=list)
+
+
+@contextmanager
+def data_folder(path: Path) -> Iterator[Path]:
+    """Own a data folder; raise FolderInUse where another process does."""
+    path.mkdir(parents=True, exist_ok=True)
+    with (path / LOCK).open("w") as lock:
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            raise FolderInUse(str(path)) from None
+        yield path
+
+
+def founder_id(vm: VmName) -> NodeId:
+    """Return the id of a VM's first disk, which all founders can name."""
+    return NodeId(f"{vm}/founder")
+
+
+def found(folder: Path, vm: VmName, founders: tuple[Node, ...]) -> None:
+    """Write the first entry of a new log; raise AlreadyFounded."""
+    if (folder / IDENTITY).exists():
+        raise AlreadyFounded(str(folder))
+    first = Entry(LogIndex(1), 1, UnixMillis(0), ChangeVoters(founders, ()))
+    batch = DiskBatch(Term(1), NodeId(""), LogIndex(0), (first,))
+    replace_file(folder / LOG, frame_record(batch))
+    replace_file(folder / IDENTITY, founder_id(vm).encode())
+
+
+def read_identity(folder: Path, vm: VmName) -> NodeId:
+    """Return the disk's id; a blank disk gets a new one."""
+    path = folder / IDENTITY
+    if not path.exists():
+        replace_file(path, f"{vm}/{uuid.uuid4().hex}".encode())
+    return NodeId(path.read_text())
+
+
+def recover(folder: Path, vm: VmName) -> Result[Recovered, Failure]:
+    """Read the data folder, cutting off a torn tail."""
+    recovered = Recovered(read_identity(folder, vm))
+    snapshot = read_records(folder / SNAPSHOT)
+    if snapshot.is_error() or snapshot.ok.torn:
+        return Error(LogCorrupt(SNAPSHOT))
+    if snapshot.ok.messages:
+        recovered.snapshot = snapshot.ok.messages[0]
+    batches = read_records(folder / LOG)
+    if batches.is_error():
+        return Error(batches.error)
+    if batches.ok.torn:
+        emit(LOG_TAIL_CUT, at=batches.ok.end)
+        _cut_tail(folder / LOG, batches.ok.end)
+    for batch in batches.ok.messages:
+        _replay(recovered, batch)
+    return Ok(recovered)
+
+
+def _cut_tail(path: Path, end: int) -> None:
+    with path.open("r+b") as stream:
+        stream.truncate(end)
+        sync_file(stream)
+
+
+def _replay(recovered: Recovered, batch: DiskBatch) -> None:
+    recovered.term = batch.term
+    recovered.voted_for = batch.voted_for
+    if batch.cut_from:
+        recovered.entries = [
+            entry for entry in recovered.entries if entry.index < batch.cut_from
+        ]
+    recovered.entries += batch.entries
+
+
+class Store:
+    """Own the open log file."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._stream = (folder / LOG).open("ab")
+        sync_folder(folder)
+
+    def write(self, batch: DiskBatch) -> None:
+        """Write a batch, durable only after the next sync."""
+        self._stream.write(frame_record(batch))
+
+    def sync(self) -> None:
+        """Make all written batches durable."""
+        sync_file(self._stream)
+
+    def replace(self, snapshot: DiskSnapshot, rest: DiskBatch) -> None:
+        """Make a snapshot durable, then rewrite the log that follows it."""
+        replace_file(self._folder / SNAPSHOT, frame_record(snapshot))
+        self._stream.close()
+        replace_file(self._folder / LOG, frame_record(rest))
+        self._stream = (self._folder / LOG).open("ab")
+
+    def close(self) -> None:
+        """Sync and close the log file."""
+        self.sync()
+        self._stream.close()
--- /dev/null
+++ b/src/snipecart/control/disk/task.py
@@ -0,0 +1,73 @@
+"""Sync batches in groups, then send what had to wait for them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from ...core.ids import Instant
+from ...core.ids import LogIndex
+from ...core.ids import Term
+from ...core.task import Task
+from ...messages.raft import DiskBatch
+from ..raft.state import Persist
+from ..raft.state import PersistSnapshot
+from ..raft.state import SendSynced
+from ..raft.state import Synced
+from .store import Store
+
+DISK_MAILBOX = 65_536
+"""Effects; more than the node lets stand open at a time."""
+
+
+class DiskTask(Task):
+    """Own the log file."""
+
+    def __init__(
+        self,
+        store: Store,
+        send: Callable[[SendSynced], Any],
+        report: Callable[[Synced], Any],
+    ) -> None:
+        super().__init__("disk", DISK_MAILBOX)
+        self._store = store
+        self._send = send
+        self._report = report
+
+    def handle(self, batch: list[Any], now: Instant) -> None:
+        """Write everything, sync once, then send and report."""
+        done: Synced | None = None
+        for effect in batch:
+            if isinstance(effect, Persist):
+                self._store.write(effect.batch)
+                done = _mark(effect.batch, done)
+            elif isinstance(effect, PersistSnapshot):
+                self._store.replace(effect.snapshot, effect.rest)
+                done = _mark_snapshot(effect)
+        if done is not None:
+            self._store.sync()
+        for effect in batch:
+            if isinstance(effect, SendSynced):
+                self._send(effect)
+        if done is not None:
+            self._report(done)
+
+    def close(self) -> None:
+        """Close the log file."""
+        self._store.close()
+
+
+def _mark(batch: DiskBatch, before: Synced | None) -> Synced:
+    if batch.entries:
+        last = batch.entries[-1]
+        return Synced(batch.term, last.index, last.term)
+    if before is None or batch.cut_from:
+        return Synced(batch.term, LogIndex(0), -1)
+    return Synced(batch.term, before.index, before.index_term)
+
+
+def _mark_snapshot(effect: PersistSnapshot) -> Synced:
+    if effect.rest.entries:
+        return _mark(effect.rest, None)
+    snapshot = effect.snapshot
+    return Synced(Term(effect.rest.term), snapshot.index, snapshot.index_term)
--- /dev/null
+++ b/src/snipecart/control/factory.py
@@ -0,0 +1,182 @@
+"""Assemble snipecart-control."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Iterator
+from contextlib import contextmanager
+from random import Random
+from typing import Any
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from ..core.failures import Failure
+from ..core.ids import NodeId
+from ..core.ids import VmName
+from ..core.task import monotonic
+from ..messages.commands import Node
+from ..program.settings import ControlSettings
+from ..program.web import HttpListener
+from ..program.web import serving
+from ..wire.codec import Framed
+from ..wire.links import Link
+from ..wire.links import Listener
+from .disk.store import Recovered
+from .disk.store import Store
+from .disk.store import data_folder
+from .disk.store import founder_id
+from .disk.store import recover
+from .disk.task import DiskTask
+from .machine.state import MachineState
+from .machine.state import load_state
+from .node import EVERYONE
+from .node import NodeTask
+from .node import Outlets
+from .pages import ControlPages
+from .raft.log import Log
+from .raft.replication import members_in
+from .raft.state import Members
+from .raft.state import RaftState
+
+HTTP_THREADS = 8
+
+
+def founders(cfg: ControlSettings) -> tuple[Node, ...]:
+    """Return the control processes that a new log begins with."""
+    return tuple(
+        Node(founder_id(peer.vm), peer.vm, peer.host, peer.port) for peer in cfg.peers
+    )
+
+
+def make_state(recovered: Recovered, seed: int) -> RaftState:
+    """Return the log's state as the disk told it."""
+    now = monotonic()
+    state = RaftState(recovered.node, Random(seed), heard_leader=now)
+    state.term, state.voted_for = recovered.term, recovered.voted_for
+    snapshot, entries = recovered.snapshot, recovered.entries
+    if snapshot is not None:
+        state.snapshot = snapshot
+        state.commit = snapshot.index
+        state.members.append(
+            Members(snapshot.index, snapshot.voters, snapshot.learners)
+        )
+    state.log = _make_log(recovered)
+    for entry in entries:
+        if snapshot is None or entry.index > snapshot.index:
+            state.members += members_in(entry)
+    state.synced = state.log.last_index
+    state.reset_election(now)
+    return state
+
+
+def _make_log(recovered: Recovered) -> Log:
+    snapshot, entries = recovered.snapshot, recovered.entries
+    if snapshot is None:
+        log = Log()
+    elif entries and entries[0].index <= snapshot.index:
+        first = entries.pop(0)
+        log = Log(first.index, first.term)
+    else:
+        log = Log(snapshot.index, snapshot.index_term)
+        entries = [entry for entry in entries if entry.index > snapshot.index]
+    for entry in entries:
+        log.append(entry)
+    return log
+
+
+class Links:
+    """Keep a link to the VM of each other control process."""
+
+    def __init__(self, cfg: ControlSettings) -> None:
+        self._cfg = cfg
+        self._links: dict[VmName, Link] = {}
+        self._nodes: dict[VmName, Node] = {}
+
+    def relink(self, nodes: tuple[Node, ...]) -> None:
+        """Open links to the VMs of the settings and of the log's members."""
+        wanted = {node.vm: node for node in (*founders(self._cfg), *nodes)}
+        wanted.pop(self._cfg.vm, None)
+        for vm in set(self._links) - set(wanted):
+            self._links.pop(vm).stop(0.0)
+        for vm, node in wanted.items():
+            before = self._nodes.get(vm)
+            if before is None or (before.host, before.port) != (node.host, node.port):
+                self._open(vm, node)
+
+    def send(self, to: NodeId, message: Any) -> None:
+        """Send to the VM of one node, or to all with ``*``."""
+        if to == EVERYONE:
+            chosen = list(self._links.values())
+        else:
+            link = self._links.get(VmName(to.partition("/")[0]))
+            chosen = [link] if link is not None else []
+        for link in chosen:
+            link.post(Framed(0, message))
+
+    def close(self) -> None:
+        """Close all links."""
+        for link in self._links.values():
+            link.stop(1.0)
+
+    def _open(self, vm: VmName, node: Node) -> None:
+        if vm in self._links:
+            self._links[vm].stop(0.0)
+        link = Link(vm, node.host, node.port, self._cfg.host, _ignore)
+        link.start()
+        self._links[vm], self._nodes[vm] = link, node
+
+
+def _ignore(framed: Framed) -> None:
+    """Drop answers: peers talk over links of their own."""
+
+
+def make_node(cfg: ControlSettings, recovered: Recovered, links: Links, persist):
+    """Return the node task."""
+    state = make_state(recovered, uuid.uuid4().int)
+    machine = load_state(state.snapshot.state) if state.snapshot else MachineState()
+    me = Node(recovered.node, cfg.vm, cfg.host, cfg.peer_port)
+    return NodeTask(state, machine, me, Outlets(links.send, persist, links.relink))
+
+
+@contextmanager
+def control_tasks(cfg: ControlSettings) -> Iterator[Result[NodeTask, Failure]]:
+    """Own the data folder and the tasks of a control process."""
+    with data_folder(cfg.data) as folder:
+        recovered = recover(folder, cfg.vm)
+        if recovered.is_error():
+            yield Error(recovered.error)
+            return
+        links = Links(cfg)
+        disk = DiskTask(
+            Store(folder),
+            send=lambda effect: links.send(effect.to, effect.message),
+            report=lambda synced: node.mailbox.post_waiting(synced),
+        )
+        node = make_node(cfg, recovered.ok, links, disk.post)
+        links.relink(tuple(node.state.peers))
+        listener = Listener(cfg.host, cfg.peer_port, node.post)
+        disk.start()
+        node.start()
+        listener.start()
+        try:
+            yield Ok(node)
+        finally:
+            listener.stop()
+            node.stop()
+            disk.stop()
+            links.close()
+
+
+@contextmanager
+def control_program(cfg: ControlSettings) -> Iterator[Result[NodeTask, Failure]]:
+    """Run a control process until the block ends."""
+    web = {peer.vm: f"{peer.host}:{peer.http_port}" for peer in cfg.peers}
+    with control_tasks(cfg) as node:
+        if node.is_error():
+            yield node
+            return
+        pages = ControlPages(node.ok, web)
+        with serving([HttpListener(cfg.host, cfg.http_port, HTTP_THREADS)], {}, pages):
+            yield node
--- /dev/null
+++ b/src/snipecart/control/lead.py
@@ -0,0 +1,174 @@
+"""Keep what only a leader keeps: who is there, and which shares are lent."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..core.ids import EndpointId
+from ..core.ids import Instant
+from ..core.ids import MemberId
+from ..core.ids import Millis
+from ..core.ids import ServiceName
+from ..core.ids import Term
+from ..core.ids import TextVersion
+from ..core.states import MemberState
+from ..messages.members import Heartbeat
+from ..messages.members import HeartbeatAnswer
+from ..messages.members import Share
+from ..text.model import Text
+from .leases.directory import Directory
+from .leases.division import Claimant
+from .leases.division import divide_links
+from .leases.division import divide_slots
+from .leases.division import link_caps
+from .leases.division import slot_resource
+from .leases.division import slots_by_service
+from .leases.ledger import SHARE_LEASE
+from .leases.ledger import Ledger
+
+DIVIDE_EVERY = 0.25
+"""Seconds between two divisions of slots."""
+
+CLOCK_MARGIN = 0.2
+"""Seconds that a lease ends earlier where it is used than where it is lent."""
+
+TERM_STEP = 1 << 32
+"""Grants and directory versions of a term start at its multiple of this."""
+
+
+@dataclass(frozen=True)
+class AcceptedText:
+    """Hold the accepted text and its version."""
+
+    version: TextVersion
+    text: Text | None
+
+
+class Lead:
+    """Hold one term's members, endpoints and shares."""
+
+    def __init__(self, term: Term, now: Instant) -> None:
+        self.directory = Directory(term * TERM_STEP)
+        self.ledger = Ledger(Instant(now + SHARE_LEASE + CLOCK_MARGIN))
+        self._grant = term * TERM_STEP
+        self._targets: dict[MemberId, dict[str, int]] = {}
+        self._caps: dict[str, int] = {}
+        self._divided_at = Instant(-1e9)
+        self._divided_for = (TextVersion(0), -1)
+
+    def answer(
+        self, beat: Heartbeat, accepted: AcceptedText, now: Instant
+    ) -> HeartbeatAnswer:
+        """Take a heartbeat in and lend shares until the next."""
+        member = beat.member.member
+        self.directory.note(beat, now)
+        if beat.member.state is MemberState.LEAVING and not beat.held:
+            self.ledger.release(member)
+            self.directory.remove_member(member)
+        self.directory.expire(now)
+        self._divide(accepted, now)
+        self._grant += 1
+        shares = self.ledger.renew(
+            member,
+            {share.resource: share.amount for share in beat.held},
+            beat.grant_seen,
+            self._grant,
+            self._targets.get(member, {}),
+            self._caps,
+            now,
+        )
+        changed = beat.directory_version != self.directory.version
+        return HeartbeatAnswer(
+            accepted.version,
+            self.directory.version,
+            changed,
+            self._grant,
+            Millis(int((SHARE_LEASE - CLOCK_MARGIN) * 1000)),
+            tuple(Share(name, amount) for name, amount in sorted(shares.items())),
+            self._members() if changed else (),
+            self._endpoints() if changed else (),
+        )
+
+    def in_force(self, version: TextVersion, now: Instant) -> bool:
+        """Say whether every member that may act acts on a version."""
+        self.directory.expire(now)
+        known = self.directory.members.values()
+        return self.ledger.is_open(now) and all(
+            item.text_version >= version for item in known
+        )
+
+    def lagging(self, version: TextVersion) -> list[MemberId]:
+        """List the members that do not act on a version yet."""
+        return [
+            key
+            for key, item in self.directory.members.items()
+            if item.text_version < version
+        ]
+
+    def _members(self):
+        return tuple(item.member for item in self.directory.members.values())
+
+    def _endpoints(self):
+        return tuple(item.announcement for item in self.directory.endpoints.values())
+
+    def _divide(self, accepted: AcceptedText, now: Instant) -> None:
+        basis = (accepted.version, self.directory.version)
+        due = now >= self._divided_at + DIVIDE_EVERY
+        if accepted.text is None or not (due or basis != self._divided_for):
+            return
+        self._divided_at, self._divided_for = now, basis
+        serving = [
+            item
+            for item in self.directory.serving()
+            if _is_listed(accepted.text, item.service, item.zone)
+        ]
+        self._caps = {slot_resource(item.endpoint): item.slots for item in serving}
+        self._caps.update(link_caps(accepted.text))
+        members = [
+            item.member
+            for item in self.directory.members.values()
+            if item.member.state is MemberState.SERVING
+        ]
+        targets = divide_links(accepted.text, members)
+        for service, endpoints in slots_by_service(serving).items():
+            current = {
+                member.member: self._current(member.member, endpoints, now)
+                for member in members
+            }
+            claimants = self._claimants(service)
+            for member, slots in divide_slots(endpoints, claimants, current).items():
+                for endpoint, count in slots.items():
+                    targets[member][slot_resource(endpoint)] = count
+        self._targets = targets
+
+    def _current(
+        self, member: MemberId, endpoints, now: Instant
+    ) -> dict[EndpointId, int]:
+        held = {
+            item.endpoint: self.ledger.held_by(
+                member, slot_resource(item.endpoint), now
+            )
+            for item in endpoints
+        }
+        return {endpoint: count for endpoint, count in held.items() if count}
+
+    def _claimants(self, service: ServiceName) -> list[Claimant]:
+        return [
+            Claimant(
+                key,
+                item.member.region,
+                item.member.zone,
+                sum(want.slots for want in item.demands if want.service == service),
+            )
+            for key, item in self.directory.members.items()
+            if item.member.state is MemberState.SERVING
+        ]
+
+
+def _is_listed(text: Text, service: ServiceName, zone: str) -> bool:
+    return any(
+        place.zone == zone
+        for item in text.services
+        if item.name == service
+        for place in item.places
+    )
--- /dev/null
+++ b/src/snipecart/control/leases/__init__.py
@@ -0,0 +1,3 @@
+"""Lend shares of bounded resources and follow who is there."""
+
+from __future__ import annotations
--- a/src/snipecart/control/machine/__init__.py
+++ b/src/snipecart/control/machine/__init__.py
@@ -0,0 +1,8 @@
+"""Apply committed commands to the state that must survive."""
+
+from __future__ import annotations
+
+from . import claims
+from . import register
+
+__all__ = ["claims", "register"]
--- /dev/null
+++ b/src/snipecart/control/machine/register.py
@@ -0,0 +1,50 @@
+"""Keep one accepted text, changed only by submissions that name it as base."""
+
+from __future__ import annotations
+
+import hashlib
+
+from ...core.ids import Digest
+from ...core.ids import TextVersion
+from ...core.states import SubmitVerdict
+from ...messages.commands import Entry
+from ...messages.commands import SubmitAnswer
+from ...messages.commands import SubmitText
+from .state import APPLIERS
+from .state import MachineState
+from .state import Submission
+
+SUBMISSIONS_KEPT = 4096
+"""Submission ids whose first answer is kept; the oldest go first.
+
+An older resend gets a version conflict, as its base is long gone.
+"""
+
+
+@APPLIERS.register(SubmitText)
+def apply_submit(
+    state: MachineState, command: SubmitText, entry: Entry
+) -> SubmitAnswer:
+    """Accept a text that follows the accepted one."""
+    digest = Digest(hashlib.sha256(command.text).hexdigest())
+    first = state.submissions.get(command.submission)
+    if first is not None:
+        return _answer_resend(first, digest)
+    if command.base != state.version:
+        verdict = SubmitVerdict.VERSION_CONFLICT
+    else:
+        verdict = SubmitVerdict.ACCEPTED
+        state.version = TextVersion(entry.index)
+        state.text = command.text
+    answer = SubmitAnswer(command.submission, verdict, state.version)
+    state.submissions[command.submission] = Submission(digest, answer)
+    while len(state.submissions) > SUBMISSIONS_KEPT:
+        del state.submissions[next(iter(state.submissions))]
+    return answer
+
+
+def _answer_resend(first: Submission, digest: Digest) -> SubmitAnswer:
+    if first.digest == digest:
+        return first.answer
+    reused = SubmitVerdict.SUBMISSION_REUSED
+    return SubmitAnswer(first.answer.submission, reused, first.answer.version)
--- /dev/null
+++ b/src/snipecart/control/machine/state.py
@@ -0,0 +1,111 @@
+"""Hold the replicated state, the same on every control process."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from pydantic import TypeAdapter
+from pydantic.dataclasses import Field
+from pydantic.dataclasses import dataclass
+
+from ...core.ids import AttemptId
+from ...core.ids import Digest
+from ...core.ids import RequestKey
+from ...core.ids import SubmissionId
+from ...core.ids import TextVersion
+from ...core.ids import UnixMillis
+from ...core.message import record
+from ...core.registry import Registry
+from ...core.states import ClaimState
+from ...messages.commands import ChangeVoters
+from ...messages.commands import Entry
+from ...messages.commands import Noop
+from ...messages.commands import RecordedAnswer
+from ...messages.commands import SubmitAnswer
+
+NO_ANSWER = RecordedAnswer(0, "", b"")
+
+BUCKET_MS = 60_000
+"""Claims issued within this span age out together."""
+
+
+@record
+class Submission:
+    """Hold the first answer to a submission id."""
+
+    digest: Digest
+    answer: SubmitAnswer
+
+
+@record
+class Claim:
+    """Hold the claim of one request key."""
+
+    key: RequestKey
+    scope: str
+    digest: Digest
+    attempt: AttemptId
+    issued: UnixMillis
+    state: ClaimState
+    answer: RecordedAnswer
+
+    @property
+    def identity(self) -> str:
+        """Return what identifies the claim: whose key it is, and the key."""
+        return claim_identity(self.scope, self.key)
+
+
+def claim_identity(scope: str, key: RequestKey) -> str:
+    """Join a scope and a key."""
+    return f"{scope}\n{key}"
+
+
+@dataclass(config={"ser_json_bytes": "base64", "val_json_bytes": "base64"})
+class MachineState:
+    """Hold the accepted text, the submissions and the claims."""
+
+    now: UnixMillis = UnixMillis(0)
+    version: TextVersion = TextVersion(0)
+    text: bytes = b""
+    submissions: dict[SubmissionId, Submission] = Field(default_factory=dict)
+    claims: dict[str, Claim] = Field(default_factory=dict)
+    buckets: dict[int, list[str]] = Field(default_factory=dict)
+    """Claims by the minute their keys were issued."""
+
+
+Applier = Callable[[MachineState, Any, Entry], Any]
+
+APPLIERS: Registry[type[Any], Applier] = Registry("appliers of commands")
+
+_ADAPTER = TypeAdapter(MachineState)
+
+
+def apply_entry(state: MachineState, entry: Entry) -> Any:
+    """Apply one committed entry and return its answer."""
+    state.now = UnixMillis(max(state.now, entry.at))
+    return APPLIERS.get(type(entry.command))(state, entry.command, entry)
+
+
+def dump_state(state: MachineState) -> bytes:
+    """Return the whole state for a snapshot."""
+    return _ADAPTER.dump_json(state)
+
+
+def load_state(data: bytes) -> MachineState:
+    """Return the state of a snapshot."""
+    return _ADAPTER.validate_json(data) if data else MachineState()
+
+
+@APPLIERS.register(Noop)
+def apply_noop(state: MachineState, command: Noop, entry: Entry) -> Noop:
+    """Change nothing."""
+    return command
+
+
+@APPLIERS.register(ChangeVoters)
+def apply_change_voters(
+    state: MachineState, command: ChangeVoters, entry: Entry
+) -> ChangeVoters:
+    """Change nothing here: the log itself follows its members."""
+    return command
--- /dev/null
+++ b/src/snipecart/control/metrics.py
@@ -0,0 +1,9 @@
+"""Count what control processes do."""
+
+from __future__ import annotations
+
+from prometheus_client import Counter
+
+REFUSALS = Counter(
+    "snipecart_control_refusals", "Operators' requests refused", ["reason"]
+)
--- /dev/null
+++ b/src/snipecart/control/pages.py
@@ -0,0 +1,143 @@
+"""Answer operators over HTTP."""
+
+from __future__ import annotations
+
+from concurrent.futures import Future
+from typing import Any
+
+import cherrypy
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from ..core.failures import Busy
+from ..core.failures import Failure
+from ..core.failures import NoQuorum
+from ..core.failures import NotLeader
+from ..core.failures import SubmissionReused
+from ..core.failures import VersionConflict
+from ..core.ids import SubmissionId
+from ..core.ids import TextVersion
+from ..core.states import SubmitVerdict
+from ..messages.commands import Refused
+from ..messages.commands import SubmitAnswer
+from ..messages.commands import SubmitText
+from ..program.pages import CommonPages
+from ..program.pages import answer_failure
+from ..program.pages import answer_json
+from ..text.parse import parse_text
+from ..wire.links import Received
+from .metrics import REFUSALS
+from .node import NodeStatus
+from .node import NodeTask
+from .node import StatusQuery
+
+ANSWER_WAIT = 5.0
+"""Seconds an operator's request waits for the quorum."""
+
+FAILURES: dict[str, type[Failure]] = {
+    failure().reason: failure for failure in (NotLeader, NoQuorum, Busy)
+}
+
+
+class ControlPages(CommonPages):
+    """Take submitted texts and tell the state of the system."""
+
+    def __init__(self, node: NodeTask, web: dict[str, str]) -> None:
+        self._node = node
+        self._web = web
+
+    @cherrypy.expose
+    def ready(self) -> bytes:
+        """Say whether this process can answer for a quorum or knows who does."""
+        status = self._ask(StatusQuery())
+        if status.is_error():
+            return answer_failure(status.error)
+        known = status.ok.confirmed or bool(status.ok.leader)
+        return answer_json({"ready": known}, 200 if known else 503)
+
+    @cherrypy.expose
+    def status(self) -> bytes:
+        """Tell what this process knows."""
+        status = self._ask(StatusQuery())
+        if status.is_error():
+            return answer_failure(status.error)
+        return answer_json(_describe(status.ok, self._web))
+
+    @cherrypy.expose
+    def text(self) -> bytes:
+        """Give the accepted text and its version, confirmed by a quorum."""
+        status = self._ask(StatusQuery())
+        if status.is_error():
+            return answer_failure(status.error)
+        if not status.ok.confirmed:
+            return self._refuse(NotLeader(self._leader_web(status.ok)))
+        cherrypy.response.headers["Snipecart-Version"] = str(status.ok.version)
+        cherrypy.response.headers["Content-Type"] = "application/json"
+        return status.ok.text
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["POST"])
+    def submit(self, base: str = "", submission: str = "") -> bytes:
+        """Take a text that follows a base version."""
+        text = cherrypy.request.body.read()
+        parsed = parse_text(text)
+        if parsed.is_error():
+            return self._refuse(parsed.error)
+        if not base.isdecimal() or not submission:
+            return self._refuse(Failure("base and submission are needed"))
+        command = SubmitText(SubmissionId(submission), TextVersion(int(base)), text)
+        answer = self._ask(command)
+        if answer.is_error():
+            return self._refuse(answer.error)
+        return self._answer_submit(answer.ok)
+
+    def _answer_submit(self, answer: SubmitAnswer) -> bytes:
+        if answer.verdict is SubmitVerdict.ACCEPTED:
+            return answer_json(answer)
+        detail = f"accepted version is {answer.version}"
+        if answer.verdict is SubmitVerdict.VERSION_CONFLICT:
+            return self._refuse(VersionConflict(detail))
+        return self._refuse(SubmissionReused(detail))
+
+    def _refuse(self, failure: Failure) -> bytes:
+        REFUSALS.labels(failure.reason).inc()
+        return answer_failure(failure)
+
+    def _ask(self, message: Any) -> Result[Any, Failure]:
+        fut: Future[Any] = Future()
+        if not self._node.post(Received(message, fut.set_result)):
+            return Error(Busy("mailbox full"))
+        try:
+            answer = fut.result(ANSWER_WAIT)
+        except TimeoutError:
+            return Error(NoQuorum("no answer in time; submit again with the same id"))
+        if isinstance(answer, Refused):
+            return Error(FAILURES.get(answer.reason, Failure)(answer.detail))
+        return Ok(answer)
+
+    def _leader_web(self, status: NodeStatus) -> str:
+        return self._web.get(status.leader.partition("/")[0], "")
+
+
+def _describe(status: NodeStatus, web: dict[str, str]) -> dict[str, Any]:
+    return {
+        "node": status.node,
+        "role": status.role,
+        "leader": status.leader,
+        "leader_web": web.get(status.leader.partition("/")[0], ""),
+        "confirmed": status.confirmed,
+        "term": status.term,
+        "commit": status.commit,
+        "voters": list(status.voters),
+        "learners": list(status.learners),
+        "accepted_version": status.version,
+        "in_force": status.in_force,
+        "lagging": list(status.lagging),
+        "members": [
+            {"member": item.member, "text_version": item.text_version}
+            for item in status.members
+        ],
+        "endpoints": list(status.endpoints),
+        "claims": status.claims,
+    }
--- /dev/null
+++ b/src/snipecart/control/raft/election.py
@@ -0,0 +1,177 @@
+"""Elect a leader, asking first whether an election could be won."""
+
+from __future__ import annotations
+
+from ...core.ids import Instant
+from ...core.ids import LogIndex
+from ...core.ids import NodeId
+from ...core.ids import Term
+from ...core.ids import UnixMillis
+from ...core.states import Role
+from ...messages.commands import Noop
+from ...messages.raft import DiskBatch
+from ...messages.raft import VoteAnswer
+from ...messages.raft import VoteRequest
+from . import timing
+from .state import HANDLERS
+from .state import Effect
+from .state import Flush
+from .state import Persist
+from .state import Progress
+from .state import Propose
+from .state import RaftState
+from .state import RoleChanged
+from .state import Send
+from .state import SendSynced
+from .state import step
+
+
+def become_follower(
+    state: RaftState, term: Term, leader: NodeId, now: Instant
+) -> list[Effect]:
+    """Follow in a term; a higher term is made durable."""
+    effects: list[Effect] = []
+    if state.role is Role.LEADER:
+        effects.append(RoleChanged(Role.FOLLOWER, term))
+        state.reset_election(now)
+    state.role = Role.FOLLOWER
+    state.leader = leader
+    state.pre_voting = False
+    if term > state.term:
+        state.term = term
+        state.voted_for = NodeId("")
+        effects.append(persist_vote(state))
+    return effects
+
+
+def persist_vote(state: RaftState) -> Persist:
+    """Make the term and vote durable."""
+    return Persist(DiskBatch(state.term, state.voted_for, LogIndex(0), ()))
+
+
+def start_pre_vote(state: RaftState, now: Instant) -> list[Effect]:
+    """Ask whether an election could be won, disturbing nobody."""
+    state.reset_election(now)
+    if state.me not in state.voter_ids:
+        return []
+    state.role = Role.CANDIDATE
+    state.leader = NodeId("")
+    state.pre_voting = True
+    state.votes = {state.me}
+    if state.has_quorum(state.votes):
+        return start_election(state, now)
+    return [Send(to, req) for to, req in _vote_requests(state, pre_vote=True)]
+
+
+def start_election(state: RaftState, now: Instant) -> list[Effect]:
+    """Ask for votes in a new term once the own vote is durable."""
+    state.reset_election(now)
+    state.role = Role.CANDIDATE
+    state.pre_voting = False
+    state.term = Term(state.term + 1)
+    state.voted_for = state.me
+    state.votes = set()
+    requests = _vote_requests(state, pre_vote=False)
+    return [persist_vote(state), *(SendSynced(to, req) for to, req in requests)]
+
+
+def _vote_requests(
+    state: RaftState, *, pre_vote: bool
+) -> list[tuple[NodeId, VoteRequest]]:
+    term = Term(state.term + 1) if pre_vote else state.term
+    last_term = Term(state.log.last_term)
+    request = VoteRequest(pre_vote, term, state.me, state.log.last_index, last_term)
+    return [(node.node, request) for node in state.voters if node.node != state.me]
+
+
+def count_own_vote(state: RaftState, term: Term, now: Instant) -> list[Effect]:
+    """Count the own vote once it is durable."""
+    if state.role is not Role.CANDIDATE or state.pre_voting or term != state.term:
+        return []
+    state.votes.add(state.me)
+    return _conclude(state, now)
+
+
+@HANDLERS.register(VoteRequest)
+def handle_vote_request(
+    state: RaftState, req: VoteRequest, now: Instant
+) -> list[Effect]:
+    """Give a vote to a log as long as the own, unless a leader is alive."""
+    if _leader_is_alive(state, now):
+        return [Send(req.candidate, _vote(state, req, granted=False))]
+    if req.pre_vote:
+        granted = req.term > state.term and _is_complete(state, req)
+        return [Send(req.candidate, _vote(state, req, granted=granted))]
+    effects: list[Effect] = []
+    if req.term > state.term:
+        effects += become_follower(state, req.term, NodeId(""), now)
+    granted = (
+        req.term == state.term
+        and state.voted_for in ("", req.candidate)
+        and _is_complete(state, req)
+    )
+    if granted:
+        state.voted_for = req.candidate
+        state.reset_election(now)
+        effects.append(persist_vote(state))
+    return [*effects, SendSynced(req.candidate, _vote(state, req, granted=granted))]
+
+
+def _vote(state: RaftState, req: VoteRequest, *, granted: bool) -> VoteAnswer:
+    term = req.term if granted else state.term
+    return VoteAnswer(req.pre_vote, term, state.me, granted)
+
+
+def _leader_is_alive(state: RaftState, now: Instant) -> bool:
+    if state.role is Role.LEADER:
+        return now < state.confirmed_at(now) + timing.ELECTION_MIN
+    return now < state.heard_leader + timing.ELECTION_MIN
+
+
+def _is_complete(state: RaftState, req: VoteRequest) -> bool:
+    theirs = (req.last_term, req.last_index)
+    return theirs >= (state.log.last_term, state.log.last_index)
+
+
+@HANDLERS.register(VoteAnswer)
+def handle_vote_answer(
+    state: RaftState, answer: VoteAnswer, now: Instant
+) -> list[Effect]:
+    """Count a vote."""
+    if not answer.granted and answer.term > state.term:
+        return become_follower(state, answer.term, NodeId(""), now)
+    wanted = Term(state.term + 1) if state.pre_voting else state.term
+    counts = (
+        state.role is Role.CANDIDATE
+        and answer.granted
+        and answer.pre_vote == state.pre_voting
+        and answer.term == wanted
+    )
+    if not counts:
+        return []
+    state.votes.add(answer.voter)
+    return _conclude(state, now)
+
+
+def _conclude(state: RaftState, now: Instant) -> list[Effect]:
+    if not state.has_quorum(state.votes):
+        return []
+    if state.pre_voting:
+        return start_election(state, now)
+    return become_leader(state, now)
+
+
+def become_leader(state: RaftState, now: Instant) -> list[Effect]:
+    """Lead, and commit an empty command to learn what is committed."""
+    state.role = Role.LEADER
+    state.leader = state.me
+    state.lead_began = now
+    last = state.log.last_index
+    state.progress = {
+        node.node: Progress(LogIndex(0), LogIndex(last + 1)) for node in state.peers
+    }
+    state.lead_index = LogIndex(last + 1)
+    state.heartbeat_due = now
+    effects: list[Effect] = [RoleChanged(Role.LEADER, state.term)]
+    effects += step(state, Propose(Noop(), UnixMillis(0)), now)
+    return effects + step(state, Flush(), now)
--- /dev/null
+++ b/src/snipecart/control/raft/replication.py
@@ -0,0 +1,346 @@
+"""Copy the leader's log to the followers and commit what a quorum synced."""
+
+from __future__ import annotations
+
+from ...core.ids import Instant
+from ...core.ids import LogIndex
+from ...core.ids import NodeId
+from ...core.states import Role
+from ...messages.commands import ChangeVoters
+from ...messages.commands import Entry
+from ...messages.commands import Node
+from ...messages.raft import AppendAnswer
+from ...messages.raft import AppendRequest
+from ...messages.raft import DiskBatch
+from ...messages.raft import DiskSnapshot
+from ...messages.raft import SnapshotRequest
+from . import timing
+from .election import become_follower
+from .election import count_own_vote
+from .election import start_pre_vote
+from .log import Log
+from .membership import maintain_voters
+from .state import HANDLERS
+from .state import Apply
+from .state import Compact
+from .state import Effect
+from .state import Flush
+from .state import Members
+from .state import Persist
+from .state import PersistSnapshot
+from .state import Progress
+from .state import Propose
+from .state import RaftState
+from .state import Restore
+from .state import Send
+from .state import SendSynced
+from .state import Synced
+from .state import Tick
+from .state import VotersChanged
+
+BATCH = 256
+"""Entries in one request."""
+
+KEPT_ENTRIES = 512
+"""Entries kept behind a snapshot for followers that lag."""
+
+SNAPSHOT_RETRY = 2.0
+"""Seconds before a snapshot is sent again."""
+
+
+class CommittedEntryLost(Exception):
+    """Report a leader's request to drop a committed entry."""
+
+
+@HANDLERS.register(Tick)
+def handle_tick(state: RaftState, _: Tick, now: Instant) -> list[Effect]:
+    """Confirm the lead, give it up, or seek it."""
+    if state.role is not Role.LEADER:
+        return start_pre_vote(state, now) if now >= state.election_due else []
+    confirmed = max(state.confirmed_at(now), state.lead_began)
+    if now > confirmed + timing.STEP_DOWN:
+        return become_follower(state, state.term, NodeId(""), now)
+    effects = maintain_voters(state, now)
+    if now >= state.heartbeat_due:
+        state.heartbeat_due = Instant(now + timing.HEARTBEAT)
+        effects += [send for node in state.peers for send in _append(state, node, now)]
+    return effects
+
+
+@HANDLERS.register(Propose)
+def handle_propose(state: RaftState, proposal: Propose, now: Instant) -> list[Effect]:
+    """Append a command to the own log."""
+    if state.role is not Role.LEADER:
+        return []
+    index = LogIndex(state.log.last_index + 1)
+    entry = Entry(index, state.term, proposal.at, proposal.command)
+    state.log.append(entry)
+    effects = _adopt_members(state, (entry,))
+    return [*effects, _persist(state, LogIndex(0), (entry,))]
+
+
+def _persist(
+    state: RaftState, cut_from: LogIndex, entries: tuple[Entry, ...]
+) -> Persist:
+    return Persist(DiskBatch(state.term, state.voted_for, cut_from, entries))
+
+
+@HANDLERS.register(Flush)
+def handle_flush(state: RaftState, _: Flush, now: Instant) -> list[Effect]:
+    """Send each follower the entries it has not been sent."""
+    if state.role is not Role.LEADER:
+        return []
+    last = state.log.last_index
+    effects: list[Effect] = []
+    for node in state.peers:
+        if _progress(state, node).next <= last:
+            effects += _append(state, node, now)
+    return effects
+
+
+def _progress(state: RaftState, node: Node) -> Progress:
+    fresh = Progress(LogIndex(0), LogIndex(state.log.last_index + 1))
+    return state.progress.setdefault(node.node, fresh)
+
+
+def _append(state: RaftState, node: Node, now: Instant) -> list[Effect]:
+    peer = _progress(state, node)
+    previous = LogIndex(peer.next - 1)
+    previous_term = state.log.term_at(previous)
+    if previous_term is None:
+        return _send_snapshot(state, node, peer, now)
+    entries = state.log.after(previous, BATCH)
+    peer.next = LogIndex(peer.next + len(entries))
+    return [
+        Send(
+            node.node,
+            AppendRequest(
+                state.term,
+                state.me,
+                previous,
+                previous_term,
+                entries,
+                state.commit,
+                int(now * 1e6),
+            ),
+        )
+    ]
+
+
+def _send_snapshot(
+    state: RaftState, node: Node, peer: Progress, now: Instant
+) -> list[Effect]:
+    snapshot = state.snapshot
+    if snapshot is None or now < peer.snapshot_sent + SNAPSHOT_RETRY:
+        return []
+    peer.snapshot_sent = now
+    return [
+        Send(
+            node.node,
+            SnapshotRequest(
+                state.term,
+                state.me,
+                snapshot.index,
+                snapshot.index_term,
+                snapshot.voters,
+                snapshot.learners,
+                snapshot.state,
+                int(now * 1e6),
+            ),
+        )
+    ]
+
+
+@HANDLERS.register(AppendRequest)
+def handle_append_request(
+    state: RaftState, req: AppendRequest, now: Instant
+) -> list[Effect]:
+    """Take the leader's entries and answer once they are synced."""
+    if req.term < state.term:
+        return [Send(req.leader, _answer(state, req.sent, False, state.commit))]
+    effects = _follow(state, req.term, req.leader, now)
+    previous = req.previous_index
+    if previous > state.log.last_index:
+        hint = LogIndex(state.log.last_index)
+        return [*effects, Send(req.leader, _answer(state, req.sent, False, hint))]
+    known = state.log.term_at(previous)
+    if previous > state.log.base and known != req.previous_term:
+        answer = _answer(state, req.sent, False, state.commit)
+        return [*effects, Send(req.leader, answer)]
+    effects += _take(state, req.entries)
+    matched = LogIndex(previous + len(req.entries))
+    effects += advance_commit(state, min(req.commit, matched))
+    return [*effects, SendSynced(req.leader, _answer(state, req.sent, True, matched))]
+
+
+def _follow(state: RaftState, term: int, leader: NodeId, now: Instant) -> list[Effect]:
+    effects = become_follower(state, term, leader, now)
+    state.heard_leader = now
+    state.reset_election(now)
+    return effects
+
+
+def _answer(
+    state: RaftState, sent: int, matched: bool, index: LogIndex
+) -> AppendAnswer:
+    return AppendAnswer(state.term, state.me, matched, index, sent)
+
+
+def _take(state: RaftState, entries: tuple[Entry, ...]) -> list[Effect]:
+    log = state.log
+    fresh = tuple(
+        entry
+        for entry in entries
+        if entry.index > log.base and log.term_at(entry.index) != entry.term
+    )
+    if not fresh:
+        return []
+    first = fresh[0].index
+    effects: list[Effect] = []
+    cut_from = LogIndex(0)
+    if first <= log.last_index:
+        effects += _cut(state, first)
+        cut_from = first
+    for entry in fresh:
+        log.append(entry)
+    effects.append(_persist(state, cut_from, fresh))
+    return effects + _adopt_members(state, fresh)
+
+
+def _cut(state: RaftState, index: LogIndex) -> list[Effect]:
+    if index <= state.commit:
+        raise CommittedEntryLost(str(index))
+    state.log.cut_from(index)
+    state.synced = LogIndex(min(state.synced, index - 1))
+    before = state.members[-1]
+    while state.members and state.members[-1].index >= index:
+        state.members.pop()
+    if state.members and state.members[-1] != before:
+        return [VotersChanged(state.voters, state.learners)]
+    return []
+
+
+def _adopt_members(state: RaftState, entries: tuple[Entry, ...]) -> list[Effect]:
+    found = [members for entry in entries for members in members_in(entry)]
+    state.members += found
+    return [VotersChanged(state.voters, state.learners)] if found else []
+
+
+def members_in(entry: Entry) -> list[Members]:
+    """Return the members an entry sets, if it sets any."""
+    command = entry.command
+    if isinstance(command, ChangeVoters):
+        return [Members(entry.index, command.voters, command.learners)]
+    return []
+
+
+def advance_commit(state: RaftState, commit: int) -> list[Effect]:
+    """Commit up to an index and apply what that adds."""
+    if commit <= state.commit:
+        return []
+    entries = state.log.between(state.commit + 1, commit)
+    state.commit = LogIndex(commit)
+    return [Apply(entries)]
+
+
+@HANDLERS.register(AppendAnswer)
+def handle_append_answer(
+    state: RaftState, answer: AppendAnswer, now: Instant
+) -> list[Effect]:
+    """Learn how far a follower's synced log matches."""
+    if answer.term > state.term:
+        return become_follower(state, answer.term, NodeId(""), now)
+    peer = state.progress.get(answer.follower)
+    if state.role is not Role.LEADER or answer.term < state.term or peer is None:
+        return []
+    peer.confirmed = max(peer.confirmed, answer.sent / 1e6)
+    if answer.matched:
+        peer.match = LogIndex(max(peer.match, answer.index))
+        peer.next = LogIndex(max(peer.next, peer.match + 1))
+        return [*_commit_quorum(state), *step_flush(state, answer.follower, now)]
+    peer.next = LogIndex(max(peer.match, answer.index) + 1)
+    return step_flush(state, answer.follower, now)
+
+
+def step_flush(state: RaftState, follower: NodeId, now: Instant) -> list[Effect]:
+    """Send one follower what it still lacks."""
+    for node in state.peers:
+        if node.node == follower and _progress(state, node).next <= (
+            state.log.last_index
+        ):
+            return _append(state, node, now)
+    return []
+
+
+def _commit_quorum(state: RaftState) -> list[Effect]:
+    matches = sorted(
+        (
+            state.synced if node.node == state.me else _progress(state, node).match
+            for node in state.voters
+        ),
+        reverse=True,
+    )
+    index = matches[state.quorum() - 1]
+    if state.log.term_at(index) != state.term:
+        return []
+    return advance_commit(state, index)
+
+
+@HANDLERS.register(Synced)
+def handle_synced(state: RaftState, done: Synced, now: Instant) -> list[Effect]:
+    """Count the own log and vote once they are durable."""
+    if state.log.term_at(done.index) == done.index_term:
+        state.synced = LogIndex(max(state.synced, done.index))
+    effects = count_own_vote(state, done.term, now)
+    if state.role is Role.LEADER:
+        effects += _commit_quorum(state)
+    return effects
+
+
+@HANDLERS.register(SnapshotRequest)
+def handle_snapshot(
+    state: RaftState, req: SnapshotRequest, now: Instant
+) -> list[Effect]:
+    """Take a whole state in place of the entries that led to it."""
+    if req.term < state.term:
+        return [Send(req.leader, _answer(state, req.sent, False, state.commit))]
+    effects = _follow(state, req.term, req.leader, now)
+    if req.index <= state.commit:
+        answer = _answer(state, req.sent, True, state.commit)
+        return [*effects, SendSynced(req.leader, answer)]
+    snapshot = DiskSnapshot(
+        req.index, req.index_term, req.voters, req.learners, req.state
+    )
+    state.snapshot = snapshot
+    state.log = Log(req.index, req.index_term)
+    state.members = [Members(req.index, req.voters, req.learners)]
+    state.commit = req.index
+    state.synced = req.index
+    rest = DiskBatch(state.term, state.voted_for, LogIndex(0), ())
+    return [
+        *effects,
+        PersistSnapshot(snapshot, rest),
+        Restore(snapshot),
+        VotersChanged(state.voters, state.learners),
+        SendSynced(req.leader, _answer(state, req.sent, True, req.index)),
+    ]
+
+
+@HANDLERS.register(Compact)
+def handle_compact(state: RaftState, req: Compact, now: Instant) -> list[Effect]:
+    """Keep a snapshot, and only the latest of the entries behind it."""
+    term = state.log.term_at(req.index)
+    if term is None or req.index > state.commit:
+        return []
+    held = [members for members in state.members if members.index <= req.index]
+    members = held[-1] if held else Members(LogIndex(0), (), ())
+    snapshot = DiskSnapshot(
+        req.index, term, members.voters, members.learners, req.state
+    )
+    state.snapshot = snapshot
+    state.log.forget_before(req.index - KEPT_ENTRIES)
+    later = [other for other in state.members if other.index > members.index]
+    state.members = [members, *later]
+    entries = tuple(state.log.entries)
+    rest = DiskBatch(state.term, state.voted_for, LogIndex(0), entries)
+    return [PersistSnapshot(snapshot, rest)]
--- /dev/null
+++ b/src/snipecart/control/raft/timing.py
@@ -0,0 +1,23 @@
+"""Set the spans of time that elections and leases rest on, in seconds."""
+
+from __future__ import annotations
+
+HEARTBEAT = 0.1
+"""A leader confirms its lead this often."""
+
+ELECTION_MIN = 1.0
+"""A follower that heard its leader this lately votes for nobody."""
+
+ELECTION_MAX = 2.0
+
+LEASE = 0.8
+"""A leader may speak for the quorum this long after it was heard by one.
+
+Shorter than ELECTION_MIN by more than two clocks drift apart in that span.
+"""
+
+STEP_DOWN = 2.0
+"""A leader that no quorum answered for this long gives up its lead."""
+
+RECENT = 3.0
+"""A voter that answered this lately can't be replaced."""
--- a/src/snipecart/core/message.py
+++ b/src/snipecart/core/message.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Annotated
 from typing import Any
 from typing import TypeVar
 from typing import dataclass_transform
 
 from pydantic import ConfigDict
+from pydantic import PlainSerializer
+from pydantic import PlainValidator
 from pydantic import with_config
 from pydantic.alias_generators import to_camel
 
@@ -39,6 +43,17 @@
     return MESSAGES.register(wire_name(made))(made)
 
 
+NESTED: Registry[str, Callable[[Any], Any]] = Registry("codecs of nested messages")
+"""An encoding files ``dump`` and ``load`` here for messages within messages."""
+
+Nested = Annotated[
+    Any,
+    PlainSerializer(lambda value: NESTED.get("dump")(value)),
+    PlainValidator(lambda value: NESTED.get("load")(value)),
+]
+"""Any message, carried within another one."""
+
+
 def wire_name(cls: type[Any]) -> str:
     """Return a message type's name on the wire."""
     return cls.__name__[0].lower() + cls.__name__[1:]
--- a/src/snipecart/core/task.py
+++ b/src/snipecart/core/task.py
@@ -25,6 +25,9 @@
 BATCH_SIZE = 256
 """Messages handled between two looks at the clock."""
 
+FAILED = threading.Event()
+"""Set where a task failed, so that the program can stop."""
+
 IDLE_WAIT = 1.0
 """Seconds a task with no deadline blocks at a time."""
 
@@ -39,6 +42,10 @@
     def __init__(self, size: int = MAILBOX_SIZE) -> None:
         self._queue: Queue[M] = Queue(size)
 
+    def post_waiting(self, message: M) -> None:
+        """Add a message, blocking while the mailbox is full."""
+        self._queue.put(message)
+
     def post(self, message: M) -> bool:
         """Add a message; return False where the mailbox is full."""
         try:
@@ -83,6 +90,11 @@
         """Post to the task's mailbox."""
         return self.mailbox.post(message)
 
+    @property
+    def alive(self) -> bool:
+        """Say whether the task's thread runs."""
+        return self._thread.is_alive()
+
     def start(self) -> None:
         """Start the task's thread."""
         self._thread.start()
@@ -108,6 +120,7 @@
             self.handle(batch, monotonic())
         except Exception as exc:
             emit(TASK_FAILED, task=self.name, error=repr(exc))
+            FAILED.set()
             raise
 
 
--- a/src/snipecart/messages/commands.py
+++ b/src/snipecart/messages/commands.py
@@ -12,6 +12,7 @@
 from ..core.ids import TextVersion
 from ..core.ids import UnixMillis
 from ..core.ids import VmName
+from ..core.message import Nested
 from ..core.message import message
 from ..core.message import record
 from ..core.states import ClaimVerdict
@@ -101,11 +102,13 @@
 
 @message
 class SealNotRun:
-    """Seal a held claim as not run and never to be run."""
+    """Seal a key as not run and never to be run by this attempt."""
 
     key: RequestKey
     scope: str
+    digest: Digest
     attempt: AttemptId
+    issued: UnixMillis
 
 
 @message
@@ -126,9 +129,9 @@
 
 @record
 class Entry:
-    """Hold one entry of the log; ``command`` is an encoded message."""
+    """Hold one entry of the log."""
 
     index: LogIndex
     term: int
     at: UnixMillis
-    command: bytes
+    command: Nested
--- /dev/null
+++ b/src/snipecart/program/run.py
@@ -0,0 +1,86 @@
+"""Run a program until it is told to stop."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import threading
+from collections.abc import Callable
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import click
+import logbook
+
+from ..core.events import PROGRAM_STARTED
+from ..core.events import PROGRAM_STOPPED
+from ..core.events import PROGRAM_STOPPING
+from ..core.events import emit
+from ..core.task import FAILED
+from .settings import Section
+from .settings import describe
+from .settings import load_settings
+
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+
+FAILURE_LOOK = 0.5
+"""Seconds between two looks for a failed task."""
+
+SWITCH_INTERVAL = 0.001
+"""Seconds a thread may hold the interpreter while others wait."""
+
+LOG_FORMAT = "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} {record.message}"
+
+
+def settings_or_exit(model: type[Section], path: Path) -> Any:
+    """Return the settings, or say in one line what is wrong and exit with 2."""
+    loaded = load_settings(model, path)
+    if loaded.is_error():
+        click.echo(f"settings refused: {describe(loaded.error)}", err=True)
+        sys.exit(EXIT_SETTINGS)
+    return loaded.ok
+
+
+@contextmanager
+def logging_to_stderr(level: str) -> Iterator[None]:
+    """Log events of a level and above to standard error."""
+    handler = logbook.StderrHandler(
+        level=logbook.lookup_level(level.upper()), format_string=LOG_FORMAT
+    )
+    with handler.applicationbound():
+        yield
+
+
+@contextmanager
+def stop_signal() -> Iterator[threading.Event]:
+    """Yield an event that SIGTERM and SIGINT set."""
+    stop = threading.Event()
+
+    def on_signal(number: int, frame: Any) -> None:
+        stop.set()
+
+    before = {
+        number: signal.signal(number, on_signal)
+        for number in (signal.SIGTERM, signal.SIGINT)
+    }
+    try:
+        yield stop
+    finally:
+        for number, handler in before.items():
+            signal.signal(number, handler)
+
+
+def run_until_stopped(name: str, level: str, body: Callable[..., Any]) -> int:
+    """Run a program's body, a context manager that may drain at its end."""
+    sys.setswitchinterval(SWITCH_INTERVAL)
+    with logging_to_stderr(level), stop_signal() as stop:
+        with body():
+            emit(PROGRAM_STARTED, program=name)
+            while not stop.wait(FAILURE_LOOK) and not FAILED.is_set():
+                pass
+            emit(PROGRAM_STOPPING, program=name)
+        emit(PROGRAM_STOPPED, program=name)
+    return EXIT_FAILED if FAILED.is_set() else 0
--- /dev/null
+++ b/src/snipecart/program/settings.py
@@ -0,0 +1,148 @@
+"""Model and load the programs' settings files."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+from typing import TypeVar
+
+from expression import Error
+from expression import Ok
+from expression import Result
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+from pydantic import ValidationError
+
+from ..core.failures import Fault
+from ..core.failures import SettingsInvalid
+from ..core.ids import RegionName
+from ..core.ids import ServiceName
+from ..core.ids import VmName
+from ..core.ids import ZoneName
+from ..core.states import Rank
+from ..text.parse import faults_of
+from ..text.parse import load_json
+
+Port = Annotated[int, Field(ge=1, le=65535)]
+
+
+class Section(BaseModel):
+    """Refuse unknown fields in every section."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class ControlPeer(Section):
+    """Say where a control process takes messages of its peers and members."""
+
+    vm: VmName
+    host: str
+    port: Port
+    http_port: Port
+
+
+class ControlSettings(Section):
+    """Set up snipecart-control."""
+
+    vm: VmName
+    host: str
+    peer_port: Port
+    http_port: Port
+    data: Path
+    peers: Annotated[tuple[ControlPeer, ...], Field(min_length=1)]
+    """All control processes, this one among them."""
+    log_level: str = "NOTICE"
+
+
+class RankListener(Section):
+    """Say where calls of one rank are taken, and by how many threads."""
+
+    rank: Rank
+    port: Port
+    threads: Annotated[int, Field(ge=1, le=1024)] = 48
+
+
+class Policies(Section):
+    """Choose registered policies by name."""
+
+    admission: str = "floors"
+    routing: str = "shares"
+    retry: str = "budget"
+
+
+class EntrySettings(Section):
+    """Set up snipecart-entry."""
+
+    vm: VmName
+    host: str
+    region: RegionName
+    zone: ZoneName
+    http_port: Port
+    """Look-ups, announcements, health and metrics."""
+    listeners: Annotated[tuple[RankListener, ...], Field(min_length=1)]
+    control: Annotated[tuple[ControlPeer, ...], Field(min_length=1)]
+    state: Path | None = None
+    """File that keeps observations of backend servers over a restart."""
+    lookup_cache_s: Annotated[float, Field(gt=0, le=3600)] = 5.0
+    drain_s: Annotated[float, Field(ge=0, le=3600)] = 6.0
+    """Seconds a leaving process serves on; longer than look-ups are cached."""
+    max_body: Annotated[int, Field(ge=0, le=64 * 1024 * 1024)] = 1024 * 1024
+    """Bytes of a call's body."""
+    policies: Policies = Policies()
+    log_level: str = "NOTICE"
+
+
+class StandinEndpoint(Section):
+    """Describe one backend server that a stand-in plays."""
+
+    host: str
+    port: Port
+    zone: ZoneName
+    region: RegionName
+
+
+class StandinSettings(Section):
+    """Set up snipecart-standin."""
+
+    service: ServiceName
+    endpoints: Annotated[tuple[StandinEndpoint, ...], Field(min_length=1)]
+    slots: Annotated[int, Field(ge=1)]
+    service_ms: Annotated[float, Field(ge=0)] = 20.0
+    entries: Annotated[tuple[str, ...], Field(min_length=1)]
+    """``host:port`` of the entry processes to announce to."""
+    answer_bytes: Annotated[int, Field(ge=0)] = 200
+    cold_s: Annotated[float, Field(ge=0)] = 0.0
+    """Seconds after start in which calls take ``cold_factor`` times as long."""
+    cold_factor: Annotated[float, Field(ge=1)] = 3.0
+    lease_ms: Annotated[int, Field(ge=100)] = 3000
+    announce_ms: Annotated[int, Field(ge=50)] = 1000
+    log_level: str = "WARNING"
+
+
+S = TypeVar("S", bound=Section)
+
+
+def load_settings(model: type[S], path: Path) -> Result[S, SettingsInvalid]:
+    """Return the settings in a file, or all its faults."""
+    try:
+        data = path.read_bytes()
+    except OSError as exc:
+        return Error(_invalid(path, Fault("$", "unreadable", str(exc))))
+    document = load_json(data)
+    if document.is_error():
+        return Error(_invalid(path, document.error))
+    try:
+        return Ok(model.model_validate(document.ok))
+    except ValidationError as exc:
+        return Error(_invalid(path, *faults_of(exc)))
+
+
+def _invalid(path: Path, *faults: Fault) -> SettingsInvalid:
+    return SettingsInvalid(str(path), faults)
+
+
+def describe(failure: SettingsInvalid) -> str:
+    """Say all faults in one line."""
+    faults = "; ".join(f"{fault.path}: {fault.reason}" for fault in failure.faults)
+    return f"{failure.detail}: {faults}"
--- /dev/null
+++ b/src/snipecart/program/web.py
@@ -0,0 +1,78 @@
+"""Serve HTTP by CherryPy on listeners of one's own."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import Any
+
+import cherrypy
+from cherrypy import _cpserver
+
+WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], list[bytes]]
+
+ACCEPT_WAIT = 0.01
+"""Seconds a new connection waits for a place in a listener's queue."""
+
+SHUTDOWN_WAIT = 30
+"""Seconds that requests in flight have to finish."""
+
+IDLE_CONNECTION = 30
+"""Seconds a connection may stay open between requests."""
+
+
+@dataclass(frozen=True)
+class HttpListener:
+    """Describe one listening address and the threads behind it."""
+
+    host: str
+    port: int
+    threads: int
+    max_body: int = 16 * 1024 * 1024
+
+
+def make_server(listener: HttpListener) -> _cpserver.Server:
+    """Return a CherryPy server for a listener."""
+    server = _cpserver.Server()
+    server.socket_host = listener.host
+    server.socket_port = listener.port
+    server.thread_pool = listener.threads
+    server.socket_queue_size = 256
+    server.accepted_queue_size = listener.threads * 4
+    server.accepted_queue_timeout = ACCEPT_WAIT
+    server.max_request_body_size = listener.max_body
+    server.socket_timeout = IDLE_CONNECTION
+    server.shutdown_timeout = SHUTDOWN_WAIT
+    return server
+
+
+@contextmanager
+def serving(
+    listeners: list[HttpListener], apps: dict[str, WsgiApp], pages: Any = None
+) -> Iterator[None]:
+    """Serve WSGI applications and dispatched pages until the block ends."""
+    cherrypy.config.update(
+        {
+            "environment": "production",
+            "log.screen": False,
+            "log.access_file": "",
+            "log.error_file": "",
+            "engine.autoreload.on": False,
+            "checker.on": False,
+        }
+    )
+    cherrypy.server.unsubscribe()
+    if pages is not None:
+        cherrypy.tree.mount(pages, "/", {"/": {"tools.trailing_slash.on": False}})
+    for path, app in apps.items():
+        cherrypy.tree.graft(app, path)
+    servers = [make_server(listener) for listener in listeners]
+    for server in servers:
+        server.subscribe()
+    cherrypy.engine.start()
+    try:
+        yield
+    finally:
+        cherrypy.engine.exit()
--- a/src/snipecart/text/__init__.py
+++ b/src/snipecart/text/__init__.py
@@ -0,0 +1,3 @@
+"""Read, check and compare the operators' text."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/snipecart/text/checks.py
@@ -0,0 +1,128 @@
+"""Check what a text says beyond its form."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+from ..core.failures import Fault
+from ..core.registry import Registry
+from .model import Text
+
+Check = Callable[[Text], Iterator[Fault]]
+
+CHECKS: Registry[str, Check] = Registry("checks of a text")
+
+MAX_FLOORS = 0.9
+"""Part of a service's slots that floors may bind together."""
+
+
+def _repeated(names: Iterable[str]) -> Iterator[tuple[int, str]]:
+    seen: Counter[str] = Counter()
+    for index, name in enumerate(names):
+        seen[name] += 1
+        if seen[name] > 1:
+            yield index, name
+
+
+@CHECKS.register("unique-names")
+def check_unique_names(text: Text) -> Iterator[Fault]:
+    """Find names that stand twice."""
+    for index, name in _repeated(region.name for region in text.regions):
+        yield Fault(f"$.regions[{index}].name", "repeated_name", name)
+    for index, name in _repeated(service.name for service in text.services):
+        yield Fault(f"$.services[{index}].name", "repeated_name", name)
+    for at, service in enumerate(text.services):
+        for index, name in _repeated(kind.name for kind in service.kinds):
+            path = f"$.services[{at}].kinds[{index}].name"
+            yield Fault(path, "repeated_name", name)
+        for index, name in _repeated(place.zone for place in service.places):
+            path = f"$.services[{at}].places[{index}].zone"
+            yield Fault(path, "repeated_name", name)
+
+
+@CHECKS.register("unique-zones")
+def check_unique_zones(text: Text) -> Iterator[Fault]:
+    """Find availability zones that stand in two places."""
+    seen: set[str] = set()
+    for at, region in enumerate(text.regions):
+        for index, zone in enumerate(region.zones):
+            if zone in seen:
+                yield Fault(f"$.regions[{at}].zones[{index}]", "repeated_name", zone)
+            seen.add(zone)
+
+
+@CHECKS.register("known-zones")
+def check_known_zones(text: Text) -> Iterator[Fault]:
+    """Find places in availability zones that no region has."""
+    for at, service in enumerate(text.services):
+        for index, place in enumerate(service.places):
+            if text.region_of(place.zone) is None:
+                path = f"$.services[{at}].places[{index}].zone"
+                yield Fault(path, "unknown_zone", place.zone)
+
+
+@CHECKS.register("known-regions")
+def check_known_regions(text: Text) -> Iterator[Fault]:
+    """Find links whose ends are no regions, or one region."""
+    names = {region.name for region in text.regions}
+    for index, link in enumerate(text.links):
+        for field, name in (("source", link.source), ("target", link.target)):
+            if name not in names:
+                yield Fault(f"$.links[{index}].{field}", "unknown_region", name)
+        if link.source == link.target:
+            yield Fault(f"$.links[{index}].target", "same_region", link.target)
+
+
+@CHECKS.register("unique-links")
+def check_unique_links(text: Text) -> Iterator[Fault]:
+    """Find links that stand twice."""
+    pairs = (f"{link.source} to {link.target}" for link in text.links)
+    for index, pair in _repeated(pairs):
+        yield Fault(f"$.links[{index}]", "repeated_link", pair)
+
+
+@CHECKS.register("dependencies")
+def check_dependencies(text: Text) -> Iterator[Fault]:
+    """Find dependencies on services that are not listed, or in a circle."""
+    needs = {service.name: set(service.depends_on) for service in text.services}
+    for at, service in enumerate(text.services):
+        for index, name in enumerate(service.depends_on):
+            path = f"$.services[{at}].depends_on[{index}]"
+            if name not in needs:
+                yield Fault(path, "unknown_service", name)
+            elif service.name in _reachable(needs, name):
+                yield Fault(path, "dependency_cycle", name)
+
+
+def _reachable(needs: dict[str, set[str]], start: str) -> set[str]:
+    reached = {start}
+    frontier = [start]
+    while frontier:
+        for name in needs.get(frontier.pop(), set()) - reached:
+            reached.add(name)
+            frontier.append(name)
+    return reached
+
+
+@CHECKS.register("floors")
+def check_floors(text: Text) -> Iterator[Fault]:
+    """Find services whose floors bind more slots than may be bound."""
+    for at, service in enumerate(text.services):
+        total = sum(kind.floor for kind in service.kinds)
+        if total > MAX_FLOORS:
+            path = f"$.services[{at}].kinds"
+            reason = f"floors sum to {total:.2f}, over {MAX_FLOORS}"
+            yield Fault(path, "floors_too_high", reason)
+
+
+@CHECKS.register("cut-off")
+def check_cut_off(text: Text) -> Iterator[Fault]:
+    """Find non-idempotent kinds that ask to be served while cut off."""
+    for at, service in enumerate(text.services):
+        for index, kind in enumerate(service.kinds):
+            if kind.when_cut_off == "serve" and not kind.idempotent:
+                path = f"$.services[{at}].kinds[{index}].when_cut_off"
+                yield Fault(path, "not_idempotent", "only idempotent kinds may serve")
--- /dev/null
+++ b/src/snipecart/text/model.py
@@ -0,0 +1,88 @@
+"""Model the operators' text."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from pydantic import BaseModel
+from pydantic import ConfigDict
+from pydantic import Field
+
+from ..core.ids import KindName
+from ..core.ids import RegionName
+from ..core.ids import ServiceName
+from ..core.ids import ZoneName
+from ..core.states import CutOffPolicy
+from ..core.states import Rank
+
+NAME = r"^[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?$"
+
+Name = Annotated[str, Field(pattern=NAME)]
+
+
+class Part(BaseModel):
+    """Refuse unknown fields and silent conversions in every part."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
+
+
+class Region(Part):
+    """Name a region and its availability zones."""
+
+    name: Annotated[RegionName, Field(pattern=NAME)]
+    zones: Annotated[tuple[ZoneName, ...], Field(min_length=1, strict=False)]
+
+
+class Place(Part):
+    """Say how much of a service runs in an availability zone."""
+
+    zone: ZoneName
+    endpoints: Annotated[int, Field(ge=1, le=10_000)]
+    slots: Annotated[int, Field(ge=1, le=10_000)]
+    """Calls one backend server runs at a time."""
+
+
+class Kind(Part):
+    """Describe a kind of call."""
+
+    name: Annotated[KindName, Field(pattern=NAME)]
+    rank: Annotated[Rank, Field(strict=False)]
+    idempotent: bool
+    deadline_ms: Annotated[int, Field(ge=1, le=600_000)]
+    floor: Annotated[float, Field(ge=0.0, le=1.0, strict=False)] = 0.05
+    """Part of the service's slots kept for this kind under any flood."""
+    kb_per_call: Annotated[int, Field(ge=1, le=1024)] = 4
+    """Kilobytes that a call and its answer may take on a link."""
+    when_cut_off: Annotated[CutOffPolicy, Field(strict=False)] = CutOffPolicy.REFUSE
+
+
+class Service(Part):
+    """Describe a service, where it runs and what it depends on."""
+
+    name: Annotated[ServiceName, Field(pattern=NAME)]
+    places: Annotated[tuple[Place, ...], Field(min_length=1, strict=False)]
+    depends_on: Annotated[tuple[ServiceName, ...], Field(strict=False)] = ()
+    kinds: Annotated[tuple[Kind, ...], Field(min_length=1, strict=False)]
+
+
+class Link(Part):
+    """Cap the traffic that may be shifted from one region to another."""
+
+    source: RegionName
+    target: RegionName
+    mbit_per_s: Annotated[int, Field(ge=0, le=1_000_000)]
+
+
+class Text(Part):
+    """Hold all that operators decide."""
+
+    regions: Annotated[tuple[Region, ...], Field(min_length=1, strict=False)]
+    services: Annotated[tuple[Service, ...], Field(min_length=1, strict=False)]
+    links: Annotated[tuple[Link, ...], Field(strict=False)] = ()
+
+    def region_of(self, zone: ZoneName) -> RegionName | None:
+        """Return the region of an availability zone, if the text names it."""
+        for region in self.regions:
+            if zone in region.zones:
+                return region.name
+        return None
--- a/src/snipecart/wire/codec.py
+++ b/src/snipecart/wire/codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from functools import cache
+from functools import lru_cache
 from pathlib import Path
 from typing import Any
 
@@ -16,6 +17,7 @@
 from .. import messages
 from ..core.failures import PeerMessageInvalid
 from ..core.message import MESSAGES
+from ..core.message import NESTED
 from ..core.message import record
 from ..core.message import wire_name
 
@@ -52,6 +54,22 @@
     return envelope.to_bytes()
 
 
+@NESTED.register("dump")
+@lru_cache(maxsize=2048)
+def encode_nested(message: Any) -> bytes:
+    """Return the bytes of a message within another one."""
+    return encode(message)
+
+
+@NESTED.register("load")
+def decode_nested(frame: bytes) -> Any:
+    """Return the message within another one, or raise ValueError."""
+    framed = decode(frame)
+    if framed.is_error():
+        raise ValueError(framed.error.detail)
+    return framed.ok.message
+
+
 def decode(frame: bytes) -> Result[Framed, PeerMessageInvalid]:
     """Return the message in a frame, or why it can't be read."""
     if len(frame) > MAX_FRAME or len(frame) % WORD:
--- /dev/null
+++ b/src/snipecart/wire/frames.py
@@ -0,0 +1,64 @@
+"""Carry frames over TCP, each after its length."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Iterator
+
+from .codec import MAX_FRAME
+
+LENGTH = struct.Struct("<I")
+
+SEND_TIMEOUT = 2.0
+"""Seconds a peer may leave its receive buffer full."""
+
+DIAL_TIMEOUT = 1.0
+"""Seconds to wait for a connection."""
+
+BACKLOG = 512
+"""Connections that may wait to be accepted."""
+
+
+class FrameTooLarge(Exception):
+    """Report a frame over the limit."""
+
+
+def send_frames(sock: socket.socket, frames: list[bytes]) -> None:
+    """Send frames in one write."""
+    sock.sendall(b"".join(LENGTH.pack(len(frame)) + frame for frame in frames))
+
+
+def receive_frames(sock: socket.socket) -> Iterator[bytes]:
+    """Yield frames until the peer closes."""
+    with sock.makefile("rb") as stream:
+        while header := stream.read(LENGTH.size):
+            if len(header) < LENGTH.size:
+                return
+            (length,) = LENGTH.unpack(header)
+            if length > MAX_FRAME:
+                raise FrameTooLarge(str(length))
+            frame = stream.read(length)
+            if len(frame) < length:
+                return
+            yield frame
+
+
+def open_listener(host: str, port: int) -> socket.socket:
+    """Listen on an address, or raise OSError."""
+    return socket.create_server((host, port), backlog=BACKLOG)
+
+
+def dial(host: str, port: int, source: str) -> socket.socket:
+    """Connect from an own address, or raise OSError."""
+    sock = socket.create_connection((host, port), DIAL_TIMEOUT, (source, 0))
+    prepare(sock)
+    return sock
+
+
+def prepare(sock: socket.socket) -> None:
+    """Send at once, and give up on a peer that does not read."""
+    sock.settimeout(None)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    timeout = struct.pack("ll", int(SEND_TIMEOUT), 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeout)
--- /dev/null
+++ b/src/snipecart/wire/links.py
@@ -0,0 +1,194 @@
+"""Own the connections between processes, one task for each direction."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import Any
+
+from ..core.events import PEER_CONNECTED
+from ..core.events import PEER_LOST
+from ..core.events import PEER_REFUSED
+from ..core.events import emit
+from ..core.ids import Instant
+from ..core.task import Task
+from ..core.task import monotonic
+from .codec import Framed
+from .codec import decode
+from .codec import encode
+from .frames import FrameTooLarge
+from .frames import dial
+from .frames import open_listener
+from .frames import prepare
+from .frames import receive_frames
+from .frames import send_frames
+
+REDIAL = 0.2
+"""Seconds between two tries to connect."""
+
+LINK_MAILBOX = 2048
+"""Messages that may wait for a connection."""
+
+
+@dataclass(frozen=True)
+class Received:
+    """Hand on a message with the way to answer it."""
+
+    message: Any
+    reply: Callable[[Any], None]
+
+
+Sink = Callable[[Received], None]
+
+
+class Writer(Task):
+    """Own the sending side of one connection."""
+
+    def __init__(self, sock: socket.socket, name: str) -> None:
+        super().__init__(name, LINK_MAILBOX)
+        self._sock = sock
+
+    def handle(self, batch: list[Framed], now: Instant) -> None:
+        """Send all waiting messages in one write."""
+        if not batch:
+            return
+        try:
+            frames = [encode(item.message, item.correlation) for item in batch]
+            send_frames(self._sock, frames)
+        except OSError:
+            self._stopping.set()
+
+    def close(self) -> None:
+        """Close the connection, which also ends its reader."""
+        with suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+        self._sock.close()
+
+
+def read_messages(
+    sock: socket.socket, peer: str, hand_on: Callable[[Framed], None]
+) -> None:
+    """Hand on every message until the connection ends or breaks the rules."""
+    try:
+        for frame in receive_frames(sock):
+            framed = decode(frame)
+            if framed.is_error():
+                emit(PEER_REFUSED, peer=peer, detail=framed.error.detail)
+                return
+            hand_on(framed.ok)
+    except FrameTooLarge as exc:
+        emit(PEER_REFUSED, peer=peer, detail=f"frame of {exc} bytes")
+    except (OSError, ValueError):
+        return
+
+
+class Listener:
+    """Own a listening socket and a reader and writer for each connection."""
+
+    def __init__(self, host: str, port: int, sink: Sink) -> None:
+        self._host, self._port, self._sink = host, port, sink
+        self._writers: set[Writer] = set()
+        self._sock: socket.socket | None = None
+        self._thread = threading.Thread(
+            target=self._accept, name="listener", daemon=True
+        )
+
+    def start(self) -> None:
+        """Listen, or raise OSError where the address can't be bound."""
+        self._sock = open_listener(self._host, self._port)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close the listening socket and all connections."""
+        if self._sock is None:
+            return
+        with suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+        self._sock.close()
+        for writer in list(self._writers):
+            writer.stop(1.0)
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                conn, address = self._sock.accept()
+            except OSError:
+                return
+            prepare(conn)
+            peer = f"{address[0]}:{address[1]}"
+            threading.Thread(
+                target=self._serve, args=(conn, peer), name=peer, daemon=True
+            ).start()
+
+    def _serve(self, conn: socket.socket, peer: str) -> None:
+        writer = Writer(conn, f"writer {peer}")
+        self._writers.add(writer)
+        writer.start()
+
+        def hand_on(framed: Framed) -> None:
+            def reply(answer: Any) -> None:
+                writer.post(Framed(framed.correlation, answer))
+
+            self._sink(Received(framed.message, reply))
+
+        read_messages(conn, peer, hand_on)
+        writer.stop(1.0)
+        self._writers.discard(writer)
+
+
+class Link(Task):
+    """Keep a connection to one peer and send what is posted.
+
+    What can't be sent is dropped: callers resend what they still want.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        port: int,
+        source: str,
+        sink: Callable[[Framed], None],
+    ) -> None:
+        super().__init__(f"link {name}", LINK_MAILBOX)
+        self._peer, self._host, self._port = name, host, port
+        self._source, self._sink = source, sink
+        self._writer: Writer | None = None
+        self._redial_at = Instant(0.0)
+
+    def handle(self, batch: list[Framed], now: Instant) -> None:
+        """Send messages, connecting first where needed."""
+        if self._writer is not None and not self._writer.alive:
+            self._writer = None
+            emit(PEER_LOST, peer=self._peer)
+        if batch and self._writer is None and now >= self._redial_at:
+            self._connect()
+        if self._writer is not None:
+            for item in batch:
+                self._writer.post(item)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._writer is not None:
+            self._writer.stop(1.0)
+
+    def _connect(self) -> None:
+        self._redial_at = Instant(monotonic() + REDIAL)
+        try:
+            sock = dial(self._host, self._port, self._source)
+        except OSError:
+            return
+        writer = Writer(sock, f"writer {self._peer}")
+        writer.start()
+        self._writer = writer
+        threading.Thread(
+            target=self._read, args=(sock, writer), name=self._peer, daemon=True
+        ).start()
+        emit(PEER_CONNECTED, peer=self._peer)
+
+    def _read(self, sock: socket.socket, writer: Writer) -> None:
+        read_messages(sock, self._peer, self._sink)
+        writer.stop(1.0)
--- a/src/snipecart/wire/schema.capnp
+++ b/src/snipecart/wire/schema.capnp
@@ -15,7 +15,9 @@
 struct RecordOutcome {
   key @0 :Text; scope @1 :Text; attempt @2 :Text; answer @3 :RecordedAnswer;
 }
-struct SealNotRun { key @0 :Text; scope @1 :Text; attempt @2 :Text; }
+struct SealNotRun {
+  key @0 :Text; scope @1 :Text; digest @2 :Text; attempt @3 :Text; issued @4 :UInt64;
+}
 struct ClaimClosed { key @0 :Text; done @1 :Bool; }
 struct Refused { reason @0 :Text; detail @1 :Text; }
 
