--- /dev/null
+++ b/src/snipecart/bench/caller.py
@@ -0,0 +1,125 @@
+"""Play callers: look entry VMs up, cache the answer, and call."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+import uuid
+from dataclasses import dataclass
+from typing import Any
+
+import urllib3
+from urllib3.exceptions import HTTPError
+from urllib3.exceptions import NewConnectionError
+
+LOOKUP_WAIT = 2.0
+"""Seconds for one look-up."""
+
+EXTRA_WAIT = 2.0
+"""Seconds past its deadline that a caller waits for an answer."""
+
+
+@dataclass(frozen=True)
+class Ended:
+    """Tell how a call ended for its caller."""
+
+    status: int
+    outcome: str
+    reason: str
+    body: bytes
+    entry: str
+
+
+def new_key() -> str:
+    """Return a request key that carries its time of issue."""
+    return f"{int(time.time() * 1000)}-{uuid.uuid4().hex}"
+
+
+class Caller:
+    """Hold one caller machine's look-up cache and connections."""
+
+    def __init__(self, bootstrap: tuple[str, ...], region: str = "") -> None:
+        self._bootstrap = list(bootstrap)
+        self._region = region
+        self._pool = urllib3.PoolManager(num_pools=64, maxsize=256)
+        self._lock = threading.Lock()
+        self._entries: list[dict[str, Any]] = []
+        self._until = 0.0
+        self._turn = 0
+
+    def call(
+        self,
+        service: str,
+        kind: str,
+        rank: str,
+        body: bytes = b"{}",
+        key: str = "",
+        caller: str = "load",
+        wait_ms: int = 0,
+    ) -> Ended:
+        """Send one call to the first entry that can be reached."""
+        headers = {"Snipecart-Caller": caller, "Content-Type": "application/json"}
+        if key:
+            headers["Snipecart-Key"] = key
+        if wait_ms:
+            headers["Snipecart-Deadline-Ms"] = str(wait_ms)
+        timeout = (wait_ms or 30_000) / 1000 + EXTRA_WAIT
+        last = Ended(0, "unknown", "no_entry", b"", "")
+        for entry in self.lookup():
+            address = f"{entry['host']}:{entry['ports'][rank]}"
+            url = f"http://{address}/call/{service}/{kind}"
+            try:
+                response = self._pool.request(
+                    "POST",
+                    url,
+                    body=body,
+                    headers=headers,
+                    retries=False,
+                    timeout=urllib3.Timeout(connect=1.0, read=timeout),
+                )
+            except NewConnectionError:
+                last = Ended(0, "unknown", "entry_unreachable", b"", address)
+                self._forget()
+                continue
+            except HTTPError:
+                return Ended(0, "unknown", "entry_broken", b"", address)
+            return _read(response, address)
+        return last
+
+    def lookup(self) -> list[dict[str, Any]]:
+        """Return the entries to use, from the cache while it lasts."""
+        with self._lock:
+            if time.monotonic() < self._until:
+                return self._entries
+        for _ in self._bootstrap:
+            self._turn += 1
+            address = self._bootstrap[self._turn % len(self._bootstrap)]
+            url = f"http://{address}/lookup?region={self._region}"
+            try:
+                response = self._pool.request(
+                    "GET", url, retries=False, timeout=LOOKUP_WAIT
+                )
+                answer = json.loads(response.data)
+            except (HTTPError, ValueError):
+                continue
+            with self._lock:
+                self._entries = answer["entries"]
+                self._until = time.monotonic() + answer["cache_s"]
+                return self._entries
+        return self._entries
+
+    def _forget(self) -> None:
+        with self._lock:
+            self._until = 0.0
+
+
+def _read(response: Any, address: str) -> Ended:
+    outcome = response.headers.get("Snipecart-Outcome", "unknown")
+    reason = ""
+    if outcome != "answered":
+        try:
+            reason = json.loads(response.data)["reason"]
+        except (ValueError, KeyError):
+            reason = f"http_{response.status}"
+    return Ended(response.status, outcome, reason, response.data, address)
--- /dev/null
+++ b/src/snipecart/cli/control_web.py
@@ -0,0 +1,117 @@
+"""Talk to the control processes over HTTP, following whoever leads."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+import urllib3
+from expression import Error
+from expression import Ok
+from expression import Result
+from urllib3.exceptions import HTTPError
+
+from ..core.failures import Failure
+from ..core.failures import NoQuorum
+
+REQUEST_WAIT = 8.0
+"""Seconds for one request."""
+
+ROUNDS = 8
+"""Times that all control processes are tried."""
+
+ROUND_WAIT = 0.4
+"""Seconds between two rounds."""
+
+
+@dataclass(frozen=True)
+class Refused(Failure):
+    """Carry a refusal as the control process gave it."""
+
+    fields: dict[str, Any] | None = None
+
+    @property
+    def reason(self) -> str:
+        """Return the reason as given."""
+        return str((self.fields or {}).get("reason", "refused"))
+
+
+@dataclass(frozen=True)
+class Reply:
+    """Hold a successful answer."""
+
+    body: bytes
+    version: int
+
+    def json(self) -> Any:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+class ControlWeb:
+    """Ask any control process, and the leader where it must be the leader."""
+
+    def __init__(self, addresses: tuple[str, ...], pause) -> None:
+        self._addresses = list(addresses)
+        self._pool = urllib3.PoolManager(maxsize=2)
+        self._pause = pause
+
+    def ask(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> Result[Reply, Failure]:
+        """Return the leader's answer, or the typed refusal."""
+        last: Failure = NoQuorum("no control process answered")
+        for round_number in range(ROUNDS):
+            if round_number:
+                self._pause(ROUND_WAIT)
+            for address in list(self._addresses):
+                answer = self._ask_one(address, method, path, body)
+                if answer.is_ok():
+                    return answer
+                last = answer.error
+                if last.reason not in ("not_leader", "no_quorum", "busy"):
+                    return answer
+                self._prefer(last.detail)
+        return Error(last)
+
+    def ask_each(self, path: str) -> dict[str, Result[Reply, Failure]]:
+        """Return what each control process answers by itself."""
+        return {
+            address: self._ask_one(address, "GET", path, None)
+            for address in self._addresses
+        }
+
+    def _prefer(self, address: str) -> None:
+        if address in self._addresses:
+            self._addresses.remove(address)
+            self._addresses.insert(0, address)
+
+    def _ask_one(
+        self, address: str, method: str, path: str, body: bytes | None
+    ) -> Result[Reply, Failure]:
+        try:
+            response = self._pool.request(
+                method,
+                f"http://{address}{path}",
+                body=body,
+                headers={"Content-Type": "application/json"},
+                retries=False,
+                timeout=REQUEST_WAIT,
+            )
+        except HTTPError as exc:
+            return Error(NoQuorum(f"{address}: {exc}"))
+        if response.status == 200:
+            version = int(response.headers.get("Snipecart-Version", 0))
+            return Ok(Reply(response.data, version))
+        return Error(_read_refusal(response.data))
+
+
+def _read_refusal(body: bytes) -> Refused:
+    try:
+        fields = json.loads(body)
+    except ValueError:
+        fields = {}
+    if not isinstance(fields, dict):
+        fields = {}
+    return Refused(str(fields.get("detail", "")), fields)
--- /dev/null
+++ b/src/snipecart/cli/entry.py
@@ -0,0 +1,39 @@
+"""Run an entry process."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+from ..entry.factory import entry_program
+from ..program.run import run_until_stopped
+from ..program.run import settings_or_exit
+from ..program.settings import EntrySettings
+
+
+@click.group()
+@click.version_option(package_name="snipecart")
+def main() -> None:
+    """Take calls and route them to backend servers."""
+
+
+@main.command()
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(path_type=Path),
+    help="JSON settings file.",
+)
+def run(path: Path) -> None:
+    """Run until SIGTERM, then drain."""
+    cfg = settings_or_exit(EntrySettings, path)
+    sys.exit(
+        run_until_stopped("snipecart-entry", cfg.log_level, lambda: entry_program(cfg))
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/snipecart/cli/load.py
@@ -0,0 +1,63 @@
+"""Offer calls and print what was measured."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import click
+
+from ..bench.load import LoadPlan
+from ..bench.load import LoadRun
+from ..bench.load import summarize_ranks
+from ..program.pages import to_json
+from ..program.run import settings_or_exit
+
+
+@click.group()
+@click.version_option(package_name="snipecart")
+def main() -> None:
+    """Offer calls at set rates, for trials and benchmarks."""
+
+
+@main.command()
+@click.option(
+    "--plan",
+    "path",
+    required=True,
+    type=click.Path(path_type=Path),
+    help="JSON file that describes the run.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@click.option("--history", type=click.Path(path_type=Path), help="Write keys here.")
+def run(path: Path, as_json: bool, history: Path | None) -> None:
+    """Offer the calls of a plan and print the figures by rank and kind."""
+    plan = settings_or_exit(LoadPlan, path)
+    results = LoadRun(plan).run()
+    streams = [result.summary() for result in results]
+    ranks = summarize_ranks(results)
+    if history is not None:
+        keys = {key: end for result in results for key, end in result.keys.items()}
+        history.write_bytes(to_json(keys))
+    if as_json:
+        click.echo(to_json({"streams": streams, "ranks": ranks}).decode())
+        return
+    click.echo("by rank:")
+    for row in ranks:
+        click.echo(_row(row, row["rank"]))
+    click.echo("by kind:")
+    for row in streams:
+        click.echo(_row(row, f"{row['service']}/{row['kind']}"))
+        if row["reasons"]:
+            click.echo(f"    refused or failed: {row['reasons']}")
+
+
+def _row(row: dict[str, Any], name: str) -> str:
+    return (
+        f"  {name:<32} offered {row['offered']:>6}  answered {row['answered']:>6}  "
+        f"p50 {row['p50_ms']:>8.1f} ms  p99 {row['p99_ms']:>8.1f} ms"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/snipecart/cli/standin.py
@@ -0,0 +1,41 @@
+"""Play backend servers."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+from ..bench.standin import standin_program
+from ..program.run import run_until_stopped
+from ..program.run import settings_or_exit
+from ..program.settings import StandinSettings
+
+
+@click.group()
+@click.version_option(package_name="snipecart")
+def main() -> None:
+    """Play backend servers, for trials and benchmarks only."""
+
+
+@main.command()
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(path_type=Path),
+    help="JSON settings file.",
+)
+def run(path: Path) -> None:
+    """Run until SIGTERM, then leave."""
+    cfg = settings_or_exit(StandinSettings, path)
+    sys.exit(
+        run_until_stopped(
+            "snipecart-standin", cfg.log_level, lambda: standin_program(cfg)
+        )
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/snipecart/control/pages.py
+++ b/src/snipecart/control/pages.py
@@ -25,6 +25,8 @@
 from ..program.pages import CommonPages
 from ..program.pages import answer_failure
 from ..program.pages import answer_json
+from ..program.pages import read_body
+from ..text.parse import MAX_TEXT
 from ..text.parse import parse_text
 from ..wire.links import Received
 from .metrics import REFUSALS
@@ -80,7 +82,7 @@
     @cherrypy.tools.allow(methods=["POST"])
     def submit(self, base: str = "", submission: str = "") -> bytes:
         """Take a text that follows a base version."""
-        text = cherrypy.request.body.read()
+        text = read_body(MAX_TEXT)
         parsed = parse_text(text)
         if parsed.is_error():
             return self._refuse(parsed.error)
--- /dev/null
+++ b/src/snipecart/entry/backend.py
@@ -0,0 +1,198 @@
+"""Dispatch calls to backend servers over HTTP."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+import urllib3
+from urllib3.exceptions import ConnectTimeoutError
+from urllib3.exceptions import HTTPError
+from urllib3.exceptions import NewConnectionError
+from urllib3.exceptions import ReadTimeoutError
+
+from ..core.ids import CallId
+from ..core.ids import EndpointId
+from ..core.ids import Instant
+from ..core.states import DispatchEnd
+from ..core.task import monotonic
+from ..messages.commands import RecordedAnswer
+from .call import ResolvedCall
+from .metrics import DISPATCHES
+
+CONNECT_LIMIT = 1.0
+"""Seconds to wait for a connection."""
+
+READ_SIZE = 65_536
+
+MAX_ANSWER = 16 * 1024 * 1024
+"""Bytes of an answer; a larger one counts as broken."""
+
+POOLED = 64
+"""Idle connections kept for one backend server."""
+
+NO_REPORT = -1.0
+
+CALL_HEADER = "Snipecart-Call"
+KEY_HEADER = "Snipecart-Key"
+DEADLINE_HEADER = "Snipecart-Deadline-Ms"
+LOAD_HEADER = "Snipecart-Load"
+NOT_RUN_HEADER = "Snipecart-Not-Run"
+
+NOTHING = RecordedAnswer(0, "", b"")
+
+
+@dataclass(frozen=True)
+class DispatchResult:
+    """Tell how one dispatch ended; the answer is whole where it was answered."""
+
+    end: DispatchEnd
+    answer: RecordedAnswer
+    seconds: float
+    load: float
+
+
+class AnswerNotWhole(Exception):
+    """Report an answer whose end can't be told, or another call's answer."""
+
+
+class BackendClient:
+    """Own the connections to backend servers."""
+
+    def __init__(self, source: str) -> None:
+        self._source = (source, 0)
+        self._pools: dict[EndpointId, urllib3.HTTPConnectionPool] = {}
+        self._lock = threading.Lock()
+
+    def dispatch(
+        self, call: ResolvedCall, endpoint: EndpointId, limit: float
+    ) -> DispatchResult:
+        """Send a call over a kept connection and read its whole answer."""
+        return self._dispatch(self._pool(endpoint), call, limit)
+
+    def dispatch_once(
+        self, call: ResolvedCall, endpoint: EndpointId, limit: float
+    ) -> DispatchResult:
+        """Send a call over a connection of its own.
+
+        On a kept connection a close by the peer can't be told from a lost answer.
+        """
+        with self._fresh_pool(endpoint) as pool:
+            return self._dispatch(pool, call, limit)
+
+    def cancel(self, endpoint: EndpointId, call: CallId) -> None:
+        """Ask a backend server to drop a call; failures don't matter."""
+        try:
+            self._pool(endpoint).request(
+                "DELETE", f"/calls/{call}", timeout=CONNECT_LIMIT, retries=False
+            )
+        except HTTPError:
+            return
+
+    def close(self) -> None:
+        """Close all connections."""
+        for pool in self._pools.values():
+            pool.close()
+
+    def forget(self, present: set[EndpointId]) -> None:
+        """Close the connections to backend servers that are gone."""
+        with self._lock:
+            for endpoint in set(self._pools) - present:
+                self._pools.pop(endpoint).close()
+
+    def _pool(self, endpoint: EndpointId) -> urllib3.HTTPConnectionPool:
+        with self._lock:
+            if endpoint not in self._pools:
+                self._pools[endpoint] = self._make_pool(endpoint, POOLED)
+            return self._pools[endpoint]
+
+    def _make_pool(self, endpoint: EndpointId, size: int) -> urllib3.HTTPConnectionPool:
+        host, _, port = endpoint.rpartition(":")
+        return urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=size, source_address=self._source
+        )
+
+    @contextmanager
+    def _fresh_pool(self, endpoint: EndpointId) -> Iterator[urllib3.HTTPConnectionPool]:
+        pool = self._make_pool(endpoint, 1)
+        try:
+            yield pool
+        finally:
+            pool.close()
+
+    def _dispatch(
+        self, pool: urllib3.HTTPConnectionPool, call: ResolvedCall, limit: float
+    ) -> DispatchResult:
+        began = monotonic()
+        until = Instant(began + limit)
+        load = NO_REPORT
+        answer = NOTHING
+        try:
+            response = self._request(pool, call, limit)
+            load = _reported_load(response)
+            answer = _read_whole(response, call, until)
+            shed = answer.status == 503 and NOT_RUN_HEADER in response.headers
+            end = DispatchEnd.SHED if shed else DispatchEnd.ANSWERED
+        except (NewConnectionError, ConnectTimeoutError):
+            end = DispatchEnd.NOT_SENT
+        except (ReadTimeoutError, TimeoutError):
+            end = DispatchEnd.TIMED_OUT
+        except (HTTPError, AnswerNotWhole, OSError):
+            end = DispatchEnd.BROKEN
+        DISPATCHES.labels(end).inc()
+        return DispatchResult(end, answer, monotonic() - began, load)
+
+    def _request(
+        self, pool: urllib3.HTTPConnectionPool, call: ResolvedCall, limit: float
+    ) -> urllib3.BaseHTTPResponse:
+        headers = {
+            CALL_HEADER: call.req.call,
+            DEADLINE_HEADER: str(int(max(0.0, call.remaining()) * 1000)),
+            "Content-Type": call.req.content_type,
+        }
+        if call.req.key:
+            headers[KEY_HEADER] = call.req.key
+        return pool.urlopen(
+            "POST",
+            f"/{call.req.kind}",
+            body=call.req.body,
+            headers=headers,
+            retries=False,
+            redirect=False,
+            preload_content=False,
+            timeout=urllib3.Timeout(
+                connect=min(limit, CONNECT_LIMIT), read=max(limit, 0.001)
+            ),
+        )
+
+
+def _reported_load(response: urllib3.BaseHTTPResponse) -> float:
+    try:
+        return float(response.headers.get(LOAD_HEADER, NO_REPORT))
+    except ValueError:
+        return NO_REPORT
+
+
+def _read_whole(
+    response: urllib3.BaseHTTPResponse, call: ResolvedCall, until: Instant
+) -> RecordedAnswer:
+    """Read to the end; raise where the answer may be cut short or another's."""
+    if response.headers.get(CALL_HEADER, call.req.call) != call.req.call:
+        response.close()
+        raise AnswerNotWhole("answer to another call")
+    sized = "Content-Length" in response.headers
+    chunked = "chunked" in response.headers.get("Transfer-Encoding", "")
+    if not sized and not chunked and response.status not in (204, 304):
+        response.close()
+        raise AnswerNotWhole("no length")
+    body = bytearray()
+    while chunk := response.read1(READ_SIZE):
+        body += chunk
+        if len(body) > MAX_ANSWER or monotonic() > until:
+            response.close()
+            raise TimeoutError
+    response.release_conn()
+    content_type = response.headers.get("Content-Type", "application/octet-stream")
+    return RecordedAnswer(response.status, content_type, bytes(body))
--- /dev/null
+++ b/src/snipecart/entry/explain.py
@@ -0,0 +1,70 @@
+"""Explain where a call would go, or why it would be refused."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from ..core.ids import CallerName
+from ..core.ids import CallId
+from ..core.ids import Instant
+from ..core.ids import KindName
+from ..core.ids import ServiceName
+from .steering.messages import Ask
+from .steering.queueing import find_refusal
+from .steering.routing import link_name
+from .steering.routing import may_cross
+from .steering.state import Endpoint
+from .steering.state import SteerState
+
+LONG = 3600.0
+"""Seconds; a deadline that refuses nothing."""
+
+
+@dataclass(frozen=True)
+class Explanation:
+    """Tell what would become of a call now."""
+
+    refusal: str
+    detail: str
+    freshness: str
+    waiting: int
+    service_time: float
+    endpoints: tuple[dict[str, Any], ...]
+
+
+def explain(
+    state: SteerState, service: ServiceName, kind: KindName, now: Instant
+) -> Explanation:
+    """Return what would become of a call, and what each backend server offers."""
+    ask = Ask(CallId(""), service, kind, CallerName(""), Instant(now + LONG))
+    failure = find_refusal(state, ask, now)
+    queue = state.queues.get(service)
+    item = queue.kinds.get(kind) if queue else None
+    endpoints = state.of_service(service) if item else []
+    return Explanation(
+        failure.reason if failure else "",
+        failure.detail if failure else "",
+        state.freshness(now),
+        item.size if item else 0,
+        item.service_time if item else 0.0,
+        tuple(_describe(state, end, item.kind, now) for end in endpoints),
+    )
+
+
+def _describe(
+    state: SteerState, endpoint: Endpoint, kind: Any, now: Instant
+) -> dict[str, Any]:
+    return {
+        "endpoint": endpoint.info.endpoint,
+        "zone": endpoint.info.zone,
+        "state": endpoint.info.state,
+        "health": endpoint.observed.health,
+        "share": endpoint.share,
+        "usable": state.limit(endpoint, kind, now),
+        "in_flight": endpoint.in_flight,
+        "latency_s": round(endpoint.observed.latency, 4),
+        "reported_load": endpoint.load,
+        "link": link_name(state, endpoint) or "",
+        "link_has_room": may_cross(state, endpoint, kind, now),
+    }
--- /dev/null
+++ b/src/snipecart/entry/filters/admit.py
@@ -0,0 +1,35 @@
+"""Get a slot of a backend server for a call."""
+
+from __future__ import annotations
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from ...core.failures import DeadlinePassed
+from ...core.failures import Failure
+from ..call import AdmittedCall
+from ..call import KeyedCall
+from ..call import ResolvedCall
+from ..call import refuse
+from ..steering.messages import Ask
+from .registry import FILTERS
+from .registry import CallContext
+
+
+@FILTERS.register("admit")
+def admit_call(
+    ctx: CallContext, message: ResolvedCall | KeyedCall
+) -> Result[AdmittedCall, Failure]:
+    """Wait for a slot, which the call's scope then owns."""
+    keyed = message if isinstance(message, KeyedCall) else None
+    call = keyed.call if keyed else message
+    if call.remaining() <= 0:
+        return Error(refuse(call, DeadlinePassed()))
+    req = call.req
+    ask = Ask(req.call, req.service, req.kind, req.caller, call.deadline)
+    req.scope.enter_context(ctx.steering.outstanding(req.call))
+    slot = ctx.steering.ask(ask, call.deadline)
+    if slot.is_error():
+        return Error(refuse(call, slot.error))
+    return Ok(AdmittedCall(call, keyed, slot.ok))
--- /dev/null
+++ b/src/snipecart/entry/filters/answer.py
@@ -0,0 +1,28 @@
+"""Count how a call ended."""
+
+from __future__ import annotations
+
+from expression import Result
+
+from ...core.failures import Failure
+from ...core.states import Outcome
+from ...core.task import monotonic
+from ..call import AnsweredCall
+from ..call import CallFailed
+from ..call import CallRequest
+from ..metrics import CALL_SECONDS
+from ..metrics import CALLS
+from ..metrics import REFUSALS
+
+
+def count_end(req: CallRequest, ended: Result[AnsweredCall, Failure]) -> None:
+    """Count a call by outcome, and a refusal or failure by its reason."""
+    if ended.is_ok():
+        kind = ended.ok.call.kind
+        CALLS.labels(req.service, req.kind, Outcome.ANSWERED).inc()
+        CALL_SECONDS.labels(kind.rank).observe(monotonic() - req.began)
+        return
+    failed = ended.error
+    if isinstance(failed, CallFailed):
+        REFUSALS.labels(failed.failure.reason).inc()
+        CALLS.labels("", "", failed.outcome).inc()
--- /dev/null
+++ b/src/snipecart/entry/filters/check.py
@@ -0,0 +1,115 @@
+"""Check a call against the text in force."""
+
+from __future__ import annotations
+
+import hashlib
+import uuid
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from ...core.failures import BodyTooLarge
+from ...core.failures import Failure
+from ...core.failures import KeyMalformed
+from ...core.failures import MissingKey
+from ...core.failures import NoText
+from ...core.failures import UnknownKind
+from ...core.failures import UnknownService
+from ...core.failures import WrongListener
+from ...core.ids import AttemptId
+from ...core.ids import Digest
+from ...core.ids import Instant
+from ...core.ids import RequestKey
+from ...core.ids import UnixMillis
+from ...core.states import Outcome
+from ...text.model import Kind
+from ...text.model import Text
+from ..call import CallFailed
+from ..call import CallRequest
+from ..call import KeyedCall
+from ..call import ResolvedCall
+from ..call import refuse
+from .registry import FILTERS
+from .registry import CallContext
+
+MAX_KEY = 200
+"""Characters of a request key."""
+
+
+@FILTERS.register("size")
+def check_size(ctx: CallContext, req: CallRequest) -> Result[CallRequest, Failure]:
+    """Refuse a body over the limit."""
+    if len(req.body) > ctx.max_body:
+        return Error(_unread(BodyTooLarge(f"over {ctx.max_body} bytes")))
+    return Ok(req)
+
+
+def _unread(failure: Failure) -> CallFailed:
+    return CallFailed("", failure, Outcome.UNKNOWN)
+
+
+@FILTERS.register("resolve")
+def resolve_kind(ctx: CallContext, req: CallRequest) -> Result[ResolvedCall, Failure]:
+    """Find the kind in the text, and the deadline."""
+    text = ctx.steering.view.text
+    if text is None:
+        return Error(_unread(NoText()))
+    found = find_kind(text, req)
+    if found.is_error():
+        return Error(_unread(found.error))
+    kind = found.ok
+    wait = min(req.wait_ms or kind.deadline_ms, kind.deadline_ms)
+    return Ok(ResolvedCall(req, kind, Instant(req.began + wait / 1000)))
+
+
+def find_kind(text: Text, req: CallRequest) -> Result[Kind, Failure]:
+    """Return the kind of a call."""
+    for service in text.services:
+        if service.name == req.service:
+            for kind in service.kinds:
+                if kind.name == req.kind:
+                    return Ok(kind)
+            return Error(UnknownKind(f"{req.service} has no {req.kind}"))
+    return Error(UnknownService(req.service))
+
+
+@FILTERS.register("rank")
+def check_rank(ctx: CallContext, call: ResolvedCall) -> Result[ResolvedCall, Failure]:
+    """Refuse a call that came to another rank's listener."""
+    if call.req.rank is not call.kind.rank:
+        detail = f"{call.kind.name} is taken by the {call.kind.rank} listener"
+        return Error(refuse(call, WrongListener(detail)))
+    return Ok(call)
+
+
+@FILTERS.register("key")
+def check_key(
+    ctx: CallContext, call: ResolvedCall
+) -> Result[ResolvedCall | KeyedCall, Failure]:
+    """Read the request key of a non-idempotent call."""
+    if call.kind.idempotent:
+        return Ok(call)
+    key = call.req.key
+    if not key:
+        return Error(CallFailed("", MissingKey(), Outcome.NOT_RUN))
+    issued = read_issued(key)
+    if issued is None or len(key) > MAX_KEY:
+        detail = "a key is <issued, Unix ms>-<opaque>"
+        return Error(CallFailed("", KeyMalformed(detail), Outcome.NOT_RUN))
+    attempt = AttemptId(f"{ctx.member}/{uuid.uuid4().hex}")
+    return Ok(KeyedCall(call, issued, digest_call(call), attempt))
+
+
+def read_issued(key: RequestKey) -> UnixMillis | None:
+    """Return the time of issue that a key carries."""
+    issued, dash, opaque = key.partition("-")
+    if not (dash and opaque and issued.isascii() and issued.isdecimal()):
+        return None
+    return UnixMillis(int(issued)) if len(issued) <= 15 else None
+
+
+def digest_call(call: ResolvedCall) -> Digest:
+    """Digest what a key may be used for: service, kind and body."""
+    head = f"{call.req.service}\n{call.req.kind}\n".encode()
+    return Digest(hashlib.sha256(head + call.req.body).hexdigest())
--- /dev/null
+++ b/src/snipecart/entry/filters/claim.py
@@ -0,0 +1,93 @@
+"""Claim the request key of a non-idempotent call before anything is sent."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from ...core.failures import ClaimHeld
+from ...core.failures import ClaimSealed
+from ...core.failures import ClaimUnconfirmed
+from ...core.failures import DeadlinePassed
+from ...core.failures import Failure
+from ...core.failures import KeyExpired
+from ...core.failures import KeyFromFuture
+from ...core.failures import KeyReused
+from ...core.ids import EndpointId
+from ...core.states import ClaimVerdict
+from ...core.states import Outcome
+from ...messages.commands import ClaimAnswer
+from ...messages.commands import ClaimClosed
+from ...messages.commands import ClaimKey
+from ...messages.commands import SealNotRun
+from ..call import AdmittedCall
+from ..call import AnsweredCall
+from ..call import CallFailed
+from ..call import ClaimedCall
+from ..call import KeyedCall
+from ..call import give_up
+from .registry import FILTERS
+from .registry import CallContext
+
+SEAL_WAIT = 1.0
+"""Seconds that a caller waits for a seal past its deadline."""
+
+REFUSING: dict[ClaimVerdict, type[Failure]] = {
+    ClaimVerdict.HELD_ELSEWHERE: ClaimHeld,
+    ClaimVerdict.OTHER_BODY: KeyReused,
+    ClaimVerdict.KEY_EXPIRED: KeyExpired,
+    ClaimVerdict.KEY_FROM_FUTURE: KeyFromFuture,
+}
+
+
+@FILTERS.register("claim")
+def claim_key(
+    ctx: CallContext, admitted: AdmittedCall
+) -> Result[AdmittedCall | ClaimedCall | AnsweredCall, Failure]:
+    """Have a quorum hold the key for this one dispatch."""
+    keyed = admitted.keyed
+    if keyed is None:
+        return Ok(admitted)
+    req = keyed.call.req
+    command = ClaimKey(
+        req.key, req.caller, keyed.digest, keyed.attempt, ctx.member, keyed.issued
+    )
+    answer = ctx.control.ask(command, max(0.0, keyed.call.remaining()))
+    if answer.is_error() or not isinstance(answer.ok, ClaimAnswer):
+        ctx.sealer.post(make_seal(keyed))
+        return Error(give_up(ClaimUnconfirmed("send the same key again")))
+    return _judge(ctx, admitted, keyed, answer.ok)
+
+
+def _judge(
+    ctx: CallContext, admitted: AdmittedCall, keyed: KeyedCall, answer: ClaimAnswer
+) -> Result[Any, Failure]:
+    if answer.verdict is ClaimVerdict.GRANTED:
+        if keyed.call.remaining() <= 0:
+            return Error(seal(ctx, keyed, DeadlinePassed()))
+        return Ok(ClaimedCall(admitted, keyed))
+    if answer.verdict is ClaimVerdict.ANSWERED:
+        return Ok(AnsweredCall(keyed.call, answer.answer, EndpointId(""), 0))
+    if answer.verdict is ClaimVerdict.NOT_RUN:
+        failure = ClaimSealed("sealed as not run; use a new key to run it")
+        return Error(CallFailed("", failure, Outcome.NOT_RUN))
+    return Error(give_up(REFUSING[answer.verdict](answer.verdict)))
+
+
+def make_seal(keyed: KeyedCall) -> SealNotRun:
+    """Return the command that seals a call as not run."""
+    req = keyed.call.req
+    return SealNotRun(req.key, req.caller, keyed.digest, keyed.attempt, keyed.issued)
+
+
+def seal(ctx: CallContext, keyed: KeyedCall, failure: Failure) -> CallFailed:
+    """Seal a call that was never sent, and say so only once a quorum holds it."""
+    command = make_seal(keyed)
+    answer = ctx.control.ask(command, max(0.0, keyed.call.remaining()) + SEAL_WAIT)
+    if answer.is_ok() and isinstance(answer.ok, ClaimClosed) and answer.ok.done:
+        return CallFailed("", failure, Outcome.NOT_RUN)
+    ctx.sealer.post(command)
+    return give_up(failure)
--- /dev/null
+++ b/src/snipecart/entry/pages.py
@@ -0,0 +1,133 @@
+"""Answer backend servers and operators over HTTP."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import Annotated
+
+import cherrypy
+from pydantic import Field
+from pydantic import ValidationError
+
+from ..core.failures import BadCall
+from ..core.failures import Busy
+from ..core.failures import Failure
+from ..core.failures import TextInvalid
+from ..core.ids import EndpointId
+from ..core.ids import Instant
+from ..core.ids import KindName
+from ..core.ids import Millis
+from ..core.ids import RegionName
+from ..core.ids import ServiceName
+from ..core.ids import ZoneName
+from ..core.states import EndpointState
+from ..core.states import Freshness
+from ..core.task import Task
+from ..messages.members import Announcement
+from ..program.pages import CommonPages
+from ..program.pages import answer_failure
+from ..program.pages import answer_json
+from ..program.pages import read_body
+from ..program.settings import Section
+from ..text.parse import faults_of
+from .explain import explain
+from .metrics import REFUSALS
+from .steering.state import SteerState
+from .steering.task import SteeringTask
+
+MAX_ANNOUNCEMENT = 4096
+"""Bytes."""
+
+ADDRESS = r"^[0-9a-zA-Z.\-]{1,253}:[0-9]{1,5}$"
+
+
+class AnnouncementBody(Section):
+    """Model a backend server's announcement of itself."""
+
+    endpoint: Annotated[EndpointId, Field(pattern=ADDRESS)]
+    service: Annotated[ServiceName, Field(max_length=64)]
+    region: Annotated[RegionName, Field(max_length=64)]
+    zone: Annotated[ZoneName, Field(max_length=64)]
+    slots: Annotated[int, Field(ge=1, le=10_000)]
+    state: EndpointState = EndpointState.SERVING
+    lease_ms: Annotated[int, Field(ge=100, le=60_000)] = 3000
+
+
+class EntryPages(CommonPages):
+    """Take announcements, and tell what this process does."""
+
+    def __init__(self, steering: SteeringTask, heartbeat: Task) -> None:
+        self._steering, self._heartbeat = steering, heartbeat
+
+    @cherrypy.expose
+    def ready(self) -> bytes:
+        """Say whether this process takes calls."""
+        view = self._steering.view
+        ready = view.freshness is Freshness.CONFIRMED and not view.stopping
+        status = 200 if ready else 503
+        return answer_json({"ready": ready, "freshness": view.freshness}, status)
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["POST"])
+    def announce(self) -> bytes:
+        """Take a backend server's announcement."""
+        try:
+            body = AnnouncementBody.model_validate_json(read_body(MAX_ANNOUNCEMENT))
+        except ValidationError as exc:
+            return self._refuse(TextInvalid("bad announcement", faults_of(exc)))
+        announcement = Announcement(
+            body.endpoint,
+            body.service,
+            body.region,
+            body.zone,
+            body.slots,
+            body.state,
+            Millis(body.lease_ms),
+        )
+        if not self._heartbeat.post(announcement):
+            return self._refuse(Busy("heartbeat mailbox full"))
+        return answer_json({"lease_ms": body.lease_ms})
+
+    @cherrypy.expose
+    def status(self) -> bytes:
+        """Tell the text in force here, the members and the endpoints known."""
+        return answer_json(self._steering.inspect(_status))
+
+    @cherrypy.expose
+    def explain(self, service: str = "", kind: str = "") -> bytes:
+        """Tell what would become of a call of a kind now."""
+        if not (service and kind):
+            return self._refuse(BadCall("service and kind are needed"))
+        look = partial(_explain, service=ServiceName(service), kind=KindName(kind))
+        return answer_json(self._steering.inspect(look))
+
+    def _refuse(self, failure: Failure) -> bytes:
+        REFUSALS.labels(failure.reason).inc()
+        return answer_failure(failure)
+
+
+def _explain(state: SteerState, now: Instant, service: ServiceName, kind: KindName):
+    return explain(state, service, kind, now)
+
+
+def _status(state: SteerState, now: Instant) -> dict[str, object]:
+    return {
+        "text_version": state.version,
+        "freshness": state.freshness(now),
+        "members": [member.member for member in state.members],
+        "stopping": state.stopping,
+        "running": len(state.running),
+        "shares": sum(item.share for item in state.endpoints.values()),
+        "endpoints": [
+            {
+                "endpoint": item.info.endpoint,
+                "service": item.info.service,
+                "state": item.info.state,
+                "health": item.observed.health,
+                "share": item.share,
+                "in_flight": item.in_flight,
+            }
+            for item in state.endpoints.values()
+        ],
+        "links": {name: budget.share for name, budget in state.links.items()},
+    }
--- /dev/null
+++ b/src/snipecart/entry/pipeline.py
@@ -0,0 +1,35 @@
+"""Put the pipeline of a call together."""
+
+from __future__ import annotations
+
+from functools import partial
+
+from expression import Result
+
+from ..core.failures import Failure
+from ..core.pipe import Pipe
+from . import filters
+from .call import AnsweredCall
+from .call import CallRequest
+from .filters.answer import count_end
+from .filters.registry import FILTERS
+from .filters.registry import CallContext
+
+__all__ = ["CALL_FILTERS", "CallPipeline", "filters"]
+
+CALL_FILTERS = ("size", "resolve", "rank", "key", "admit", "claim", "dispatch")
+"""The path of a call, from its caller's request to the whole answer."""
+
+
+class CallPipeline:
+    """Run calls through the filters, and free whatever they acquired."""
+
+    def __init__(self, ctx: CallContext) -> None:
+        self._pipe = Pipe([partial(FILTERS.get(name), ctx) for name in CALL_FILTERS])
+
+    def run(self, req: CallRequest) -> Result[AnsweredCall, Failure]:
+        """Return a call's whole answer, or CallFailed."""
+        with req.scope:
+            ended = self._pipe.run(req)
+        count_end(req, ended)
+        return ended
--- /dev/null
+++ b/src/snipecart/entry/source.py
@@ -0,0 +1,131 @@
+"""Read calls off HTTP, and write their answers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from contextlib import ExitStack
+from typing import Any
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from ..core.failures import BadCall
+from ..core.failures import Failure
+from ..core.ids import CallerName
+from ..core.ids import KindName
+from ..core.ids import RequestKey
+from ..core.ids import ServiceName
+from ..core.states import Outcome
+from ..core.states import Rank
+from ..core.task import monotonic
+from ..program.pages import HTTP_STATUS
+from ..program.pages import JSON_TYPE
+from ..program.pages import to_json
+from .call import AnsweredCall
+from .call import CallFailed
+from .call import CallRequest
+from .call import new_call_id
+from .pipeline import CallPipeline
+
+STATUS_LINES = {
+    400: "400 Bad Request",
+    404: "404 Not Found",
+    409: "409 Conflict",
+    413: "413 Content Too Large",
+    421: "421 Misdirected Request",
+    429: "429 Too Many Requests",
+    502: "502 Bad Gateway",
+    503: "503 Service Unavailable",
+    504: "504 Gateway Timeout",
+}
+
+ANONYMOUS = CallerName("anonymous")
+
+Environ = dict[str, Any]
+StartResponse = Callable[..., Any]
+
+
+class CallSource:
+    """Take calls as a WSGI application."""
+
+    def __init__(
+        self, pipeline: CallPipeline, ranks: dict[int, Rank], max_body: int
+    ) -> None:
+        self._pipeline, self._ranks = pipeline, ranks
+        self._max_body = max_body
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
+        """Answer one call."""
+        req = self._read(environ)
+        if req.is_error():
+            return _write_failure(start_response, req.error)
+        ended = self._pipeline.run(req.ok)
+        if ended.is_error():
+            return _write_failure(start_response, ended.error)
+        return _write_answer(start_response, ended.ok)
+
+    def _read(self, environ: Environ) -> Result[CallRequest, CallFailed]:
+        began = monotonic()
+        steps = environ.get("PATH_INFO", "").strip("/").split("/")
+        if environ["REQUEST_METHOD"] != "POST" or len(steps) != 2:
+            return Error(_bad("POST /call/<service>/<kind>"))
+        wait = environ.get("HTTP_SNIPECART_DEADLINE_MS", "0")
+        length = environ.get("CONTENT_LENGTH") or "0"
+        if not (_is_number(wait) and _is_number(length)):
+            return Error(_bad("a number is malformed"))
+        size = min(int(length), self._max_body + 1)
+        body = environ["wsgi.input"].read(size) if size else b""
+        if len(body) < size:
+            return Error(_bad("body cut short"))
+        return Ok(
+            CallRequest(
+                new_call_id(),
+                ServiceName(steps[0]),
+                KindName(steps[1]),
+                CallerName(environ.get("HTTP_SNIPECART_CALLER", "") or ANONYMOUS),
+                RequestKey(environ.get("HTTP_SNIPECART_KEY", "")),
+                int(wait),
+                body,
+                environ.get("CONTENT_TYPE") or "application/octet-stream",
+                self._ranks.get(int(environ["SERVER_PORT"])),
+                began,
+                ExitStack(),
+            )
+        )
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdecimal() and len(text) <= 12
+
+
+def _bad(detail: str) -> CallFailed:
+    return CallFailed("", BadCall(detail), Outcome.UNKNOWN)
+
+
+def _write_answer(start_response: StartResponse, done: AnsweredCall) -> list[bytes]:
+    answer = done.answer
+    headers = [
+        ("Content-Type", answer.content_type),
+        ("Content-Length", str(len(answer.body))),
+        ("Snipecart-Outcome", Outcome.ANSWERED),
+        ("Snipecart-Endpoint", done.endpoint),
+        ("Snipecart-Tries", str(done.tries)),
+    ]
+    start_response(f"{answer.status} From backend server", headers)
+    return [answer.body]
+
+
+def _write_failure(start_response: StartResponse, failed: Failure) -> list[bytes]:
+    failure = failed.failure if isinstance(failed, CallFailed) else failed
+    outcome = failed.outcome if isinstance(failed, CallFailed) else Outcome.UNKNOWN
+    body = to_json(
+        {"reason": failure.reason, "detail": failure.detail, "outcome": outcome}
+    )
+    headers = [
+        ("Content-Type", JSON_TYPE),
+        ("Content-Length", str(len(body))),
+        ("Snipecart-Outcome", outcome),
+    ]
+    start_response(STATUS_LINES[HTTP_STATUS[failure.category]], headers)
+    return [body]
--- /dev/null
+++ b/src/snipecart/entry/steering/admission.py
@@ -0,0 +1,58 @@
+"""Choose which kind of call gets the next free slot of a service."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ...core.ids import Instant
+from ...core.registry import Registry
+from ...core.states import Rank
+from .state import KindQueue
+from .state import ServiceQueue
+
+RANK_ORDER = {rank: place for place, rank in enumerate(Rank)}
+"""Place of each rank, the most urgent first."""
+
+CREDIT_SPAN = 1.0
+"""Seconds of its floor that a kind may save up."""
+
+Picker = Callable[[ServiceQueue, list[KindQueue]], list[KindQueue]]
+"""Order the kinds that have calls waiting, first choice first."""
+
+ADMISSION: Registry[str, Picker] = Registry("admission policies")
+
+
+def accrue_credit(queue: ServiceQueue, slots: int, now: Instant) -> None:
+    """Give each kind the slot-seconds that its floor has earned since."""
+    span = max(0.0, now - queue.accrued_at)
+    queue.accrued_at = now
+    for item in queue.kinds.values():
+        rate = item.kind.floor * slots
+        most = max(rate * CREDIT_SPAN, item.service_time)
+        item.credit = min(most, item.credit + rate * span)
+
+
+@ADMISSION.register("floors")
+def pick_by_floors(queue: ServiceQueue, waiting: list[KindQueue]) -> list[KindQueue]:
+    """Serve kinds under their floor first, then by rank, then the least served."""
+
+    def order(item: KindQueue) -> tuple[bool, int, float]:
+        return (item.credit <= 0, RANK_ORDER[item.kind.rank], item.served)
+
+    return sorted(waiting, key=order)
+
+
+@ADMISSION.register("strict_rank")
+def pick_by_rank(queue: ServiceQueue, waiting: list[KindQueue]) -> list[KindQueue]:
+    """Serve by rank alone, the oldest call first (a baseline)."""
+
+    def order(item: KindQueue) -> tuple[int, float]:
+        return (RANK_ORDER[item.kind.rank], item.peek().since)
+
+    return sorted(waiting, key=order)
+
+
+@ADMISSION.register("fifo")
+def pick_oldest(queue: ServiceQueue, waiting: list[KindQueue]) -> list[KindQueue]:
+    """Serve the oldest call first, whatever its rank (a baseline)."""
+    return sorted(waiting, key=lambda item: item.peek().since)
--- /dev/null
+++ b/src/snipecart/entry/steering/handlers.py
@@ -0,0 +1,282 @@
+"""Handle what the steering task is told."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from statistics import median
+
+from ...core.events import ENDPOINT_EJECTED
+from ...core.events import ENDPOINT_LEAVING
+from ...core.events import ENDPOINT_READMITTED
+from ...core.events import TEXT_IN_FORCE
+from ...core.events import emit
+from ...core.failures import BackendShed
+from ...core.failures import NoEndpoint
+from ...core.ids import Instant
+from ...core.ids import ServiceName
+from ...core.states import DispatchEnd
+from ...core.states import EndpointState
+from ...core.states import Health
+from ...messages.members import Announcement
+from .health import Observed
+from .messages import Announced
+from .messages import Ask
+from .messages import AskAgain
+from .messages import Confirmed
+from .messages import Dispatched
+from .messages import Refusal
+from .messages import SetStopping
+from .messages import TextInForce
+from .messages import Tick
+from .messages import Withdraw
+from .queueing import admit
+from .queueing import forget
+from .queueing import kind_queue
+from .queueing import queue_again
+from .queueing import release
+from .queueing import serve
+from .queueing import withdraw_waiting
+from .retry import FIRST_TOKENS
+from .retry import RETRY
+from .retry import earn
+from .state import STEERS
+from .state import Effect
+from .state import Endpoint
+from .state import KindQueue
+from .state import LinkBudget
+from .state import RetryBudget
+from .state import ServiceQueue
+from .state import SteerState
+
+DEMAND_SMOOTHING = 0.2
+
+SERVICE_SMOOTHING = 0.1
+
+MAX_EJECTED_PART = 0.5
+"""Part of a service's backend servers that own observations may eject."""
+
+
+@STEERS.register(Ask)
+def handle_ask(state: SteerState, ask: Ask, now: Instant) -> list[Effect]:
+    """Queue, serve or refuse a new call."""
+    if ask.service in state.budgets:
+        earn(state.budgets[ask.service])
+    return admit(state, ask, now)
+
+
+@STEERS.register(AskAgain)
+def handle_ask_again(state: SteerState, again: AskAgain, now: Instant) -> list[Effect]:
+    """Queue a call for another backend server, within the retry budget."""
+    running = state.running.get(again.call)
+    if running is None:
+        return [Refusal(again.call, NoEndpoint())]
+    spend = RETRY.get(state.chosen.retry)
+    if not spend(state.budgets[running.ask.service], again.reason):
+        return [Refusal(again.call, BackendShed("retry budget spent"))]
+    return queue_again(state, running, running.avoid, now)
+
+
+@STEERS.register(Dispatched)
+def handle_dispatched(
+    state: SteerState, done: Dispatched, now: Instant
+) -> list[Effect]:
+    """Free the slot, and learn from how the dispatch ended."""
+    running = state.running.get(done.call)
+    if running is None or running.endpoint is None:
+        return []
+    running.avoid |= {running.endpoint}
+    endpoint = release(state, running, done.seconds, now)
+    item = kind_queue(state, running.ask)
+    if item is not None and done.end is DispatchEnd.ANSWERED:
+        item.service_time += (done.seconds - item.service_time) * SERVICE_SMOOTHING
+    if endpoint is not None:
+        _observe(state, endpoint, done, now)
+    queue = state.queues.get(running.ask.service)
+    return serve(state, queue, now) if queue is not None else []
+
+
+def _observe(
+    state: SteerState, endpoint: Endpoint, done: Dispatched, now: Instant
+) -> None:
+    observed = endpoint.observed
+    before = observed.health
+    endpoint.load = done.load
+    observed.note(done.end, done.seconds, now)
+    peers = [
+        other
+        for other in state.of_service(endpoint.info.service)
+        if other.takes_calls(now)
+    ]
+    known = [other.observed.latency for other in peers if other.observed.latency]
+    if len(known) > 2 and observed.is_slow(median(known)):
+        observed.eject(now)
+    out = [other for other in peers if other.observed.health is Health.EJECTED]
+    if len(out) > len(peers) * MAX_EJECTED_PART:
+        observed.health = Health.PROBING
+    if observed.health is not before:
+        _tell_health(endpoint)
+
+
+def _tell_health(endpoint: Endpoint) -> None:
+    if endpoint.observed.health is Health.EJECTED:
+        emit(ENDPOINT_EJECTED, endpoint=endpoint.info.endpoint)
+    elif endpoint.observed.health is Health.TRUSTED:
+        emit(ENDPOINT_READMITTED, endpoint=endpoint.info.endpoint)
+
+
+@STEERS.register(Withdraw)
+def handle_withdraw(state: SteerState, done: Withdraw, now: Instant) -> list[Effect]:
+    """Forget a call, and free its slot if it still has one."""
+    running = state.running.get(done.call)
+    if running is None:
+        withdraw_waiting(state, done.call)
+        return []
+    release(state, running, 0.0, now)
+    forget(state, done.call)
+    queue = state.queues.get(running.ask.service)
+    return serve(state, queue, now) if queue is not None else []
+
+
+@STEERS.register(TextInForce)
+def handle_text(state: SteerState, news: TextInForce, now: Instant) -> list[Effect]:
+    """Act on a newer text, keeping what runs and waits."""
+    if news.version <= state.version:
+        return []
+    state.version, state.text = news.version, news.text
+    emit(TEXT_IN_FORCE, version=news.version)
+    old = state.queues
+    state.queues = {}
+    effects: list[Effect] = []
+    for service in news.text.services:
+        before = old.pop(service.name, None)
+        kinds = {kind.name: KindQueue(kind) for kind in service.kinds}
+        queue = ServiceQueue(service, kinds, now)
+        state.queues[service.name] = queue
+        state.budgets.setdefault(service.name, RetryBudget(FIRST_TOKENS))
+        if before is not None:
+            effects += _carry_over(state, before, queue)
+    for before in old.values():
+        effects += _refuse_all(state, before)
+    _drop_unlisted(state)
+    return effects + _serve_all(state, now)
+
+
+def _carry_over(
+    state: SteerState, before: ServiceQueue, after: ServiceQueue
+) -> list[Effect]:
+    for name, item in list(before.kinds.items()):
+        kept = after.kinds.get(name)
+        if kept is not None and kept.kind.rank is item.kind.rank:
+            fresh = kept.kind
+            after.kinds[name] = item
+            item.kind = fresh
+            del before.kinds[name]
+    return _refuse_all(state, before)
+
+
+def _refuse_all(state: SteerState, queue: ServiceQueue) -> list[Effect]:
+    effects: list[Effect] = []
+    for item in queue.kinds.values():
+        state.outstanding[item.kind.rank] -= item.size
+        while item.size:
+            call = item.pop().ask.call
+            effects.append(Refusal(call, NoEndpoint("no longer in the text")))
+    return effects
+
+
+def _drop_unlisted(state: SteerState) -> None:
+    for key, endpoint in list(state.endpoints.items()):
+        if not _is_listed(state, endpoint.info):
+            del state.endpoints[key]
+
+
+def _is_listed(state: SteerState, info: Announcement) -> bool:
+    queue = state.queues.get(info.service)
+    zones = {place.zone for place in queue.service.places} if queue else set()
+    return info.zone in zones
+
+
+def _serve_all(state: SteerState, now: Instant) -> list[Effect]:
+    effects: list[Effect] = []
+    for queue in state.queues.values():
+        effects += serve(state, queue, now)
+    return effects
+
+
+@STEERS.register(Confirmed)
+def handle_confirmed(state: SteerState, news: Confirmed, now: Instant) -> list[Effect]:
+    """Take the leader's word on freshness, shares and who is there."""
+    answer = news.answer
+    lapses = Instant(news.sent + answer.lease / 1000)
+    if answer.text_version <= state.version:
+        state.confirmed_until = max(state.confirmed_until, lapses)
+    state.shares_until = lapses
+    state.grant_seen = answer.grant
+    if answer.directory_sent:
+        state.directory_version = answer.directory_version
+        state.members = answer.members
+        _take_directory(state, answer.endpoints, now)
+    _take_shares(state, {share.resource: share.amount for share in answer.shares})
+    return _serve_all(state, now)
+
+
+def _take_directory(
+    state: SteerState, announcements: tuple[Announcement, ...], now: Instant
+) -> None:
+    listed = {item.endpoint for item in announcements}
+    for key, endpoint in list(state.endpoints.items()):
+        endpoint.listed = key in listed
+        if not endpoint.listed and now >= endpoint.own_lease:
+            del state.endpoints[key]
+    for info in announcements:
+        _note_endpoint(state, info, now).listed = True
+
+
+def _note_endpoint(state: SteerState, info: Announcement, now: Instant) -> Endpoint:
+    known = state.endpoints.get(info.endpoint)
+    if known is None:
+        known = Endpoint(info, Observed(), own_lease=Instant(0.0), warm_from=now)
+        if _is_listed(state, info) or state.text is None:
+            state.endpoints[info.endpoint] = known
+    if info.state is EndpointState.LEAVING and known.info.state is not info.state:
+        emit(ENDPOINT_LEAVING, endpoint=info.endpoint)
+    known.info = info
+    return known
+
+
+def _take_shares(state: SteerState, shares: dict[str, int]) -> None:
+    for endpoint in state.endpoints.values():
+        endpoint.share = shares.get(f"slots/{endpoint.info.endpoint}", 0)
+    links = {name for name in shares if name.startswith("link/")}
+    for name in links | state.links.keys():
+        state.links.setdefault(name, LinkBudget()).share = shares.get(name, 0)
+
+
+@STEERS.register(Announced)
+def handle_announced(state: SteerState, news: Announced, now: Instant) -> list[Effect]:
+    """Take a backend server's own word."""
+    endpoint = _note_endpoint(state, news.announcement, now)
+    endpoint.own_lease = Instant(now + news.announcement.lease / 1000)
+    return []
+
+
+@STEERS.register(SetStopping)
+def handle_stopping(state: SteerState, _: SetStopping, now: Instant) -> list[Effect]:
+    """Refuse new calls from now on."""
+    state.stopping = True
+    return []
+
+
+@STEERS.register(Tick)
+def handle_tick(state: SteerState, _: Tick, now: Instant) -> list[Effect]:
+    """Let probes begin, refuse calls that wait too long, measure demand."""
+    for endpoint in state.endpoints.values():
+        endpoint.observed.refresh(now)
+    wanted: dict[ServiceName, float] = defaultdict(float)
+    for name, queue in state.queues.items():
+        for item in queue.kinds.values():
+            wanted[name] += item.size + item.in_flight
+    for name in state.queues:
+        before = state.demand.get(name, 0.0)
+        state.demand[name] = before + (wanted[name] - before) * DEMAND_SMOOTHING
+    return _serve_all(state, now)
--- /dev/null
+++ b/src/snipecart/entry/steering/state.py
@@ -0,0 +1,279 @@
+"""Hold what the steering task knows."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+
+from ...core.ids import CallerName
+from ...core.ids import CallId
+from ...core.ids import EndpointId
+from ...core.ids import Instant
+from ...core.ids import KindName
+from ...core.ids import RegionName
+from ...core.ids import ServiceName
+from ...core.ids import TextVersion
+from ...core.ids import ZoneName
+from ...core.registry import Registry
+from ...core.states import CutOffPolicy
+from ...core.states import EndpointState
+from ...core.states import Freshness
+from ...core.states import Health
+from ...core.states import Rank
+from ...messages.members import Announcement
+from ...messages.members import Member
+from ...text.model import Kind
+from ...text.model import Service
+from ...text.model import Text
+from .health import Observed
+from .messages import Ask
+
+RAMP = 4.0
+"""Seconds over which a backend server that was cold gets its full share."""
+
+COLD_AFTER = 60.0
+"""Seconds without a call that make a backend server cold."""
+
+FIRST_GUESS = 0.05
+"""Seconds a call is taken to need before one was measured."""
+
+LINK_WINDOW = 1.0
+"""Seconds over which a link's cap is kept."""
+
+
+@dataclass
+class Endpoint:
+    """Hold one backend server."""
+
+    info: Announcement
+    observed: Observed
+    own_lease: Instant
+    """When the last announcement made to this process lapses."""
+    listed: bool = False
+    """Whether the control processes' directory names it."""
+    share: int = 0
+    in_flight: int = 0
+    load: float = -1.0
+    warm_from: Instant = Instant(0.0)
+    last_used: Instant = Instant(-1e9)
+
+    def takes_calls(self, now: Instant) -> bool:
+        """Say whether it is there and not leaving."""
+        present = self.listed or now < self.own_lease
+        return present and self.info.state is EndpointState.SERVING
+
+
+@dataclass
+class LinkBudget:
+    """Keep the kilobits put on a link in any one window under the share."""
+
+    share: int = 0
+    spent: deque[tuple[Instant, int]] = field(default_factory=deque)
+    total: int = 0
+
+    def can_take(self, kbit: int, now: Instant) -> bool:
+        """Say whether the share leaves room."""
+        while self.spent and self.spent[0][0] <= now - LINK_WINDOW:
+            self.total -= self.spent.popleft()[1]
+        return self.total + kbit <= self.share
+
+    def take(self, kbit: int, now: Instant) -> None:
+        """Put kilobits on the link."""
+        self.spent.append((now, kbit))
+        self.total += kbit
+
+
+@dataclass
+class Waiting:
+    """Hold one call that waits for a slot."""
+
+    ask: Ask
+    since: Instant
+    avoid: frozenset[EndpointId]
+
+
+@dataclass
+class KindQueue:
+    """Hold the waiting calls of one kind, by caller in turn."""
+
+    kind: Kind
+    callers: dict[CallerName, deque[Waiting]] = field(default_factory=dict)
+    size: int = 0
+    credit: float = 0.0
+    """Slot-seconds that the kind's floor has earned and not used."""
+    served: float = 0.0
+    """Slot-seconds used, for fairness within a rank."""
+    service_time: float = FIRST_GUESS
+    in_flight: int = 0
+
+    def push(self, waiting: Waiting) -> None:
+        """Add a call at the end of its caller's line."""
+        self.callers.setdefault(waiting.ask.caller, deque()).append(waiting)
+        self.size += 1
+
+    def peek(self) -> Waiting:
+        """Return the call whose turn it is."""
+        return next(iter(self.callers.values()))[0]
+
+    def pop(self) -> Waiting:
+        """Take the call whose turn it is; its caller goes to the end."""
+        caller = next(iter(self.callers))
+        line = self.callers.pop(caller)
+        waiting = line.popleft()
+        if line:
+            self.callers[caller] = line
+        self.size -= 1
+        return waiting
+
+    def remove(self, call: CallId) -> Waiting | None:
+        """Take out one call."""
+        for caller, line in self.callers.items():
+            for waiting in line:
+                if waiting.ask.call == call:
+                    line.remove(waiting)
+                    if not line:
+                        del self.callers[caller]
+                    self.size -= 1
+                    return waiting
+        return None
+
+    def longest_caller(self) -> CallerName:
+        """Return the caller with the most calls waiting."""
+        return max(self.callers, key=lambda caller: len(self.callers[caller]))
+
+    def drop_last_of(self, caller: CallerName) -> Waiting:
+        """Take out a caller's newest call."""
+        line = self.callers[caller]
+        waiting = line.pop()
+        if not line:
+            del self.callers[caller]
+        self.size -= 1
+        return waiting
+
+
+@dataclass
+class ServiceQueue:
+    """Hold the queues of a service's kinds."""
+
+    service: Service
+    kinds: dict[KindName, KindQueue]
+    accrued_at: Instant
+    turn: int = 0
+    """Counts choices, for policies that take turns."""
+
+
+@dataclass
+class Running:
+    """Hold a call that has a slot, or had one and may ask again."""
+
+    ask: Ask
+    rank: Rank
+    endpoint: EndpointId | None
+    avoid: frozenset[EndpointId]
+
+
+@dataclass
+class RetryBudget:
+    """Allow retries as a part of first tries."""
+
+    tokens: float
+
+
+@dataclass(frozen=True)
+class Here:
+    """Say where this process runs."""
+
+    region: RegionName
+    zone: ZoneName
+
+
+@dataclass(frozen=True)
+class Chosen:
+    """Hold the names of the registered policies in use."""
+
+    admission: str
+    routing: str
+    retry: str
+
+
+@dataclass
+class SteerState:
+    """Hold the whole state of the steering task."""
+
+    here: Here
+    chosen: Chosen
+    rank_limits: dict[Rank, int]
+    """Calls of a rank that may wait or run here at a time."""
+    version: TextVersion = TextVersion(0)
+    text: Text | None = None
+    confirmed_until: Instant = Instant(-1e9)
+    shares_until: Instant = Instant(-1e9)
+    directory_version: int = 0
+    grant_seen: int = 0
+    members: tuple[Member, ...] = ()
+    endpoints: dict[EndpointId, Endpoint] = field(default_factory=dict)
+    queues: dict[ServiceName, ServiceQueue] = field(default_factory=dict)
+    links: dict[str, LinkBudget] = field(default_factory=dict)
+    budgets: dict[ServiceName, RetryBudget] = field(default_factory=dict)
+    running: dict[CallId, Running] = field(default_factory=dict)
+    outstanding: dict[Rank, int] = field(default_factory=dict)
+    demand: dict[ServiceName, float] = field(default_factory=dict)
+    stopping: bool = False
+
+    def freshness(self, now: Instant) -> Freshness:
+        """Say whether a quorum has lately confirmed the text in force here."""
+        if self.text is None:
+            return Freshness.NO_TEXT
+        if now < self.confirmed_until:
+            return Freshness.CONFIRMED
+        return Freshness.CUT_OFF
+
+    def limit(self, endpoint: Endpoint, kind: Kind, now: Instant) -> int:
+        """Return how many calls this process may run on a backend server now."""
+        if now < self.shares_until:
+            share = self._warmed(endpoint, now)
+        elif kind.when_cut_off is CutOffPolicy.SERVE:
+            share = 1 if endpoint.info.region == self.here.region else 0
+        else:
+            share = 0
+        if endpoint.observed.health is Health.EJECTED:
+            return 0
+        if endpoint.observed.health is Health.PROBING:
+            return min(share, 1)
+        return share
+
+    def _warmed(self, endpoint: Endpoint, now: Instant) -> int:
+        warmth = (now - endpoint.warm_from) / RAMP
+        if warmth >= 1.0:
+            return endpoint.share
+        return min(endpoint.share, 1 + int(endpoint.share * warmth))
+
+    def slots_of(self, service: ServiceName, now: Instant) -> int:
+        """Return how many calls of a service this process may run at a time."""
+        queue = self.queues[service]
+        kind = next(iter(queue.kinds.values())).kind
+        return sum(
+            self.limit(endpoint, kind, now)
+            for endpoint in self.of_service(service)
+            if endpoint.takes_calls(now)
+        )
+
+    def of_service(self, service: ServiceName) -> list[Endpoint]:
+        """List the known backend servers of a service."""
+        return [
+            item for item in self.endpoints.values() if item.info.service == service
+        ]
+
+
+Effect = Any
+Handler = Callable[[SteerState, Any, Instant], list[Effect]]
+
+STEERS: Registry[type[Any], Handler] = Registry("handlers of steering messages")
+
+
+def steer(state: SteerState, message: Any, now: Instant) -> list[Effect]:
+    """Handle one message and return the answers it leads to."""
+    return STEERS.get(type(message))(state, message, now)
--- /dev/null
+++ b/src/snipecart/entry/steering/task.py
@@ -0,0 +1,139 @@
+"""Run the steering decisions as a task."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from concurrent.futures import Future
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import Any
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from ...core.failures import Busy
+from ...core.failures import CannotMeetDeadline
+from ...core.failures import Failure
+from ...core.ids import CallId
+from ...core.ids import Instant
+from ...core.states import Freshness
+from ...core.task import Task
+from ...core.task import monotonic
+from ...messages.members import Member
+from ...text.model import Text
+from . import handlers
+from .messages import Ask
+from .messages import AskAgain
+from .messages import Granted
+from .messages import Refusal
+from .messages import Slot
+from .messages import Tick
+from .messages import Withdraw
+from .state import SteerState
+from .state import steer
+
+__all__ = ["Inspect", "SteeringTask", "View", "handlers"]
+
+TICK = 0.1
+"""Seconds between two looks at the clock."""
+
+ANSWER_GRACE = 0.05
+"""Seconds past its deadline that a call waits for its refusal."""
+
+
+@dataclass(frozen=True)
+class View:
+    """Publish what calls may read without asking."""
+
+    version: int
+    text: Text | None
+    freshness: Freshness
+    members: tuple[Member, ...]
+    stopping: bool
+
+
+@dataclass(frozen=True)
+class Inspect:
+    """Ask for a value computed from the state by a pure function."""
+
+    look: Any
+    fut: Future[Any]
+
+
+class SteeringTask(Task):
+    """Own the steering state."""
+
+    def __init__(self, state: SteerState) -> None:
+        super().__init__("steering", 16_384)
+        self._state = state
+        self._waiting: dict[CallId, Future[Result[Slot, Failure]]] = {}
+        self._tick_due = Instant(0.0)
+        self.view = self._make_view(monotonic())
+
+    def next_wait(self, now: Instant) -> float:
+        """Block until the next tick is due."""
+        return self._tick_due - now
+
+    def handle(self, batch: list[Any], now: Instant) -> None:
+        """Handle messages and answer calls."""
+        for message in batch:
+            if isinstance(message, Inspect):
+                message.fut.set_result(message.look(self._state, now))
+            else:
+                self._run(steer(self._state, message, now))
+        if now >= self._tick_due:
+            self._tick_due = Instant(now + TICK)
+            self._run(steer(self._state, Tick(), now))
+        self.view = self._make_view(now)
+
+    def ask(self, message: Ask | AskAgain, deadline: Instant) -> Result[Slot, Failure]:
+        """Block until a slot or a refusal comes, or the deadline passes."""
+        fut: Future[Result[Slot, Failure]] = Future()
+        self._waiting[message.call] = fut
+        if not self.post(message):
+            self._waiting.pop(message.call, None)
+            return Error(Busy("steering mailbox full"))
+        try:
+            return fut.result(max(0.0, deadline - monotonic()) + ANSWER_GRACE)
+        except TimeoutError:
+            return Error(CannotMeetDeadline())
+
+    def inspect(self, look: Any) -> Any:
+        """Return what a pure function reads off the state."""
+        fut: Future[Any] = Future()
+        self.mailbox.post_waiting(Inspect(look, fut))
+        return fut.result()
+
+    def tell(self, message: Any) -> None:
+        """Post a message that must not get lost."""
+        self.mailbox.post_waiting(message)
+
+    @contextmanager
+    def outstanding(self, call: CallId) -> Iterator[None]:
+        """Own whatever a call holds until the block ends."""
+        try:
+            yield
+        finally:
+            self._waiting.pop(call, None)
+            self.tell(Withdraw(call))
+
+    def _run(self, effects: list[Granted | Refusal]) -> None:
+        for effect in effects:
+            fut = self._waiting.pop(effect.call, None)
+            if fut is None:
+                continue
+            if isinstance(effect, Granted):
+                fut.set_result(Ok(effect.slot))
+            else:
+                fut.set_result(Error(effect.failure))
+
+    def _make_view(self, now: Instant) -> View:
+        state = self._state
+        return View(
+            state.version,
+            state.text,
+            state.freshness(now),
+            state.members,
+            state.stopping,
+        )
--- a/src/snipecart/program/pages.py
+++ b/src/snipecart/program/pages.py
@@ -57,6 +57,12 @@
     return answer_json(failure_fields(failure), HTTP_STATUS[failure.category])
 
 
+def read_body(most: int) -> bytes:
+    """Read the current request's body, one byte over the limit at most."""
+    length = int(cherrypy.request.headers.get("Content-Length") or 0)
+    return cherrypy.request.rfile.read(min(length, most + 1))
+
+
 class CommonPages:
     """Answer health and metrics."""
 
--- a/src/snipecart/program/web.py
+++ b/src/snipecart/program/web.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -48,6 +49,12 @@
     return server
 
 
+def _describe_error(status: str, message: str, traceback: str, version: str) -> str:
+    """Answer what the dispatcher refuses by itself as JSON, too."""
+    cherrypy.response.headers["Content-Type"] = "application/json"
+    return json.dumps({"reason": "bad_call", "detail": f"{status}: {message}"})
+
+
 @contextmanager
 def serving(
     listeners: list[HttpListener], apps: dict[str, WsgiApp], pages: Any = None
@@ -61,6 +68,8 @@
             "log.error_file": "",
             "engine.autoreload.on": False,
             "checker.on": False,
+            "request.process_request_body": False,
+            "error_page.default": _describe_error,
         }
     )
     cherrypy.server.unsubscribe()
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,151 @@
+"""Write the settings of a small fleet on loopback addresses."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import click
+
+RANKS = ("urgent", "normal", "deferrable")
+
+
+def write(path: Path, value: object) -> None:
+    """Write one settings file."""
+    path.write_text(json.dumps(value, indent=2))
+
+
+def control_settings(folder: Path, net: str, count: int) -> list[dict[str, object]]:
+    """Write the control processes' settings and return their peers."""
+    peers = [
+        {
+            "vm": f"control-{at}",
+            "host": f"{net}.1.{at}",
+            "port": 7100,
+            "http_port": 7180,
+        }
+        for at in range(1, count + 1)
+    ]
+    for peer in peers:
+        vm = str(peer["vm"])
+        settings = {
+            "vm": vm,
+            "host": peer["host"],
+            "peer_port": 7100,
+            "http_port": 7180,
+            "data": str(folder / "data" / vm),
+            "peers": peers,
+        }
+        write(folder / f"{vm}.json", settings)
+    return peers
+
+
+def entry_settings(
+    folder: Path, net: str, count: int, text: dict, peers: list, extra: dict
+) -> list[str]:
+    """Write the entry processes' settings and return their addresses."""
+    zones = [
+        (region["name"], zone) for region in text["regions"] for zone in region["zones"]
+    ]
+    addresses = []
+    for at in range(1, count + 1):
+        region, zone = zones[(at - 1) * len(zones) // count % len(zones)]
+        if count <= len(zones):
+            region, zone = zones[(at - 1) * 2 % len(zones)]
+        host = f"{net}.2.{at}"
+        ports = {rank: 7201 + place for place, rank in enumerate(RANKS)}
+        settings = {
+            "vm": f"entry-{at}",
+            "host": host,
+            "region": region,
+            "zone": zone,
+            "http_port": 7280,
+            "listeners": [
+                {"rank": rank, "port": port, "threads": 64}
+                for rank, port in ports.items()
+            ],
+            "control": peers,
+            **extra,
+        }
+        write(folder / f"entry-{at}.json", settings)
+        addresses.append(f"{host}:7280")
+    return addresses
+
+
+def standin_settings(
+    folder: Path, net: str, text: dict, entries: list[str], service_ms: float, part: int
+) -> None:
+    """Write one stand-in's settings for each service."""
+    regions = {
+        zone: region["name"] for region in text["regions"] for zone in region["zones"]
+    }
+    for number, service in enumerate(text["services"], 3):
+        at = 0
+        endpoints = []
+        for place in service["places"]:
+            for _ in range(max(1, place["endpoints"] // part)):
+                at += 1
+                endpoints.append(
+                    {
+                        "host": f"{net}.{number}.{at}",
+                        "port": 8080,
+                        "zone": place["zone"],
+                        "region": regions[place["zone"]],
+                    }
+                )
+        settings = {
+            "service": service["name"],
+            "endpoints": endpoints,
+            "slots": service["places"][0]["slots"],
+            "service_ms": service_ms,
+            "entries": entries,
+        }
+        write(folder / f"standin-{service['name']}.json", settings)
+
+
+@click.command()
+@click.option("--folder", type=click.Path(path_type=Path), required=True)
+@click.option("--text", "text_file", type=click.Path(path_type=Path), required=True)
+@click.option("--net", default="127.20", help="First two numbers of all addresses.")
+@click.option("--controls", default=3)
+@click.option("--entries", default=3)
+@click.option("--service-ms", default=20.0)
+@click.option("--part", default=1, help="Divide the number of endpoints by this.")
+@click.option("--drain-s", default=6.0)
+def main(
+    folder: Path,
+    text_file: Path,
+    net: str,
+    controls: int,
+    entries: int,
+    service_ms: float,
+    part: int,
+    drain_s: float,
+) -> None:
+    """Write all settings of a fleet into a folder."""
+    folder.mkdir(parents=True, exist_ok=True)
+    text = json.loads(text_file.read_text())
+    peers = control_settings(folder, net, controls)
+    extra = {"drain_s": drain_s}
+    addresses = entry_settings(folder, net, entries, text, peers, extra)
+    standin_settings(folder, net, text, addresses, service_ms, part)
+    streams = []
+    for service in text["services"]:
+        for kind in service["kinds"]:
+            keyed = not kind["idempotent"]
+            rate = 20 if kind["rank"] == "urgent" else 5
+            streams.append(
+                {
+                    "service": service["name"],
+                    "kind": kind["name"],
+                    "rank": kind["rank"],
+                    "rate": rate,
+                    "keyed": keyed,
+                }
+            )
+    plan = {"entries": addresses, "seconds": 10, "streams": streams}
+    write(folder / "plan.json", plan)
+
+
+if __name__ == "__main__":
+    main()
