--- a/src/snipecart/entry/steering/task.py
+++ b/src/snipecart/entry/steering/task.py
@@ -81,10 +81,10 @@
             if isinstance(message, Inspect):
                 message.fut.set_result(message.look(self._state, now))
             else:
-                self._run(steer(self._state, message, now))
+                self._answer(steer(self._state, message, now))
         if now >= self._tick_due:
             self._tick_due = Instant(now + TICK)
-            self._run(steer(self._state, Tick(), now))
+            self._answer(steer(self._state, Tick(), now))
         self.view = self._make_view(now)
 
     def ask(self, message: Ask | AskAgain, deadline: Instant) -> Result[Slot, Failure]:
@@ -118,7 +118,7 @@
             self._waiting.pop(call, None)
             self.tell(Withdraw(call))
 
-    def _run(self, effects: list[Granted | Refusal]) -> None:
+    def _answer(self, effects: list[Granted | Refusal]) -> None:
         for effect in effects:
             fut = self._waiting.pop(effect.call, None)
             if fut is None:
--- a/src/snipecart/program/run.py
+++ b/src/snipecart/program/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
 import threading
@@ -17,6 +18,7 @@
 from ..core.events import PROGRAM_STARTED
 from ..core.events import PROGRAM_STOPPED
 from ..core.events import PROGRAM_STOPPING
+from ..core.events import STOP_FORCED
 from ..core.events import emit
 from ..core.task import FAILED
 from .settings import Section
@@ -29,6 +31,9 @@
 FAILURE_LOOK = 0.5
 """Seconds between two looks for a failed task."""
 
+STOP_LIMIT = 90.0
+"""Seconds that a stop may take, drain and late answers included."""
+
 SWITCH_INTERVAL = 0.001
 """Seconds a thread may hold the interpreter while others wait."""
 
@@ -73,6 +78,18 @@
             signal.signal(number, handler)
 
 
+def _exit_after(seconds: float, name: str) -> None:
+    """End the process by force where a stop takes too long."""
+
+    def force() -> None:
+        emit(STOP_FORCED, program=name)
+        os._exit(EXIT_FAILED)
+
+    timer = threading.Timer(seconds, force)
+    timer.daemon = True
+    timer.start()
+
+
 def run_until_stopped(name: str, level: str, body: Callable[..., Any]) -> int:
     """Run a program's body, a context manager that may drain at its end."""
     sys.setswitchinterval(SWITCH_INTERVAL)
@@ -82,5 +99,6 @@
             while not stop.wait(FAILURE_LOOK) and not FAILED.is_set():
                 pass
             emit(PROGRAM_STOPPING, program=name)
+            _exit_after(STOP_LIMIT, name)
         emit(PROGRAM_STOPPED, program=name)
     return EXIT_FAILED if FAILED.is_set() else 0
