--- a/src/snipecart/bench/standin.py
+++ b/src/snipecart/bench/standin.py
@@ -209,13 +209,14 @@
         return self._due - now
 
     def handle(self, batch: list[Any], now: float) -> None:
-        """Announce all servers, each to two entry processes."""
+        """Announce all servers in turn to entry processes; a leaving one to two."""
         if not batch and now < self._due:
             return
         self._due = now + self._cfg.announce_ms / 1000
         self._turn += 1
         for at, server in enumerate(self._servers):
-            for step in range(min(2, len(self._cfg.entries))):
+            leaving = server.state is EndpointState.LEAVING
+            for step in range(min(1 + leaving, len(self._cfg.entries))):
                 entry = (at + self._turn + step) % len(self._cfg.entries)
                 self._announce(server, self._cfg.entries[entry])
 
--- a/src/snipecart/control/node.py
+++ b/src/snipecart/control/node.py
@@ -72,7 +72,10 @@
 """Proposals that may wait to be committed."""
 
 TICK = 0.02
-"""Seconds between two looks at the clock."""
+"""Seconds between two looks at the clock, at the least."""
+
+LONGEST_WAIT = 0.5
+"""Seconds between two looks at the clock, at the most."""
 
 JOIN_EVERY = 1.0
 """Seconds between two tries of a blank process to join."""
@@ -144,8 +147,11 @@
         self._snapshot_index = state.commit
 
     def next_wait(self, now: Instant) -> float:
-        """Block until the next tick is due."""
-        return self._tick_due - now
+        """Block until the log has something due."""
+        state = self.state
+        leads = state.role is Role.LEADER
+        due = state.heartbeat_due if leads else state.election_due
+        return min(max(due, self._tick_due) - now, LONGEST_WAIT)
 
     def handle(self, batch: list[Any], now: Instant) -> None:
         """Handle messages, then send what they led to in one go."""
