Check histories of real processes, and that no dispatch precedes its claim

Cause: the promises are about concurrent processes, so their histories are recorded and checked: reads and submissions of the text while leaders freeze and die (linearizable), request keys under kill -9 and SIGSTOP (one run at most, one answer, 'not run' true), a lost data folder and then a second VM, control wholly frozen, a leaving backend server. Change: a non-idempotent call that reaches dispatch without its claim is not sent, whatever filters the pipeline has. Conclusion: held in these runs; links cut one way between real processes are not covered yet.

--- a/src/snipecart/entry/filters/dispatch.py
+++ b/src/snipecart/entry/filters/dispatch.py
@@ -13,6 +13,7 @@
 from ...core.failures import BackendShed
 from ...core.failures import BackendTimedOut
 from ...core.failures import BackendUnreachable
+from ...core.failures import ClaimUnconfirmed
 from ...core.failures import DeadlinePassed
 from ...core.failures import Failure
 from ...core.states import DispatchEnd
@@ -69,6 +70,8 @@
         return Ok(message)
     if isinstance(message, ClaimedCall):
         return _run_claimed(ctx, message)
+    if message.keyed is not None:
+        return Error(give_up(ClaimUnconfirmed("never sent without its claim")))
     return _run_idempotent(ctx, message)
 
 
--- /dev/null
+++ b/tests/process/test_failures.py
@@ -0,0 +1,232 @@
+"""Test what must always hold while real processes are killed and frozen."""
+
+from __future__ import annotations
+
+import json
+import random
+import shutil
+import signal
+import threading
+import time
+from collections import Counter
+from pathlib import Path
+
+import pytest
+import urllib3
+
+from snipecart.bench.caller import new_key
+
+from .fleet import TEXT
+from .fleet import running_fleet
+from .fleet import wait_for
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    """Run a fleet for one test."""
+    options = {"part": 4, "drain_s": 2, "cache_s": 1, "service_ms": 30}
+    with running_fleet(tmp_path, "127.32", **options) as fleet:
+        yield fleet
+
+
+class Callers:
+    """Send non-idempotent calls from several threads, and resend the unknown."""
+
+    def __init__(self, fleet, count: int = 4) -> None:
+        self.fleet = fleet
+        self.told: dict[str, list[str]] = {}
+        self.bodies: dict[str, set[bytes]] = {}
+        self._stop = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._send, args=(seed,)) for seed in range(count)
+        ]
+
+    def __enter__(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def __exit__(self, *exc) -> None:
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _send(self, seed: int) -> None:
+        rng = random.Random(seed)
+        caller = self.fleet.caller()
+        while not self._stop.is_set():
+            key = new_key()
+            ends = self.told.setdefault(key, [])
+            bodies = self.bodies.setdefault(key, set())
+            for _ in range(3):
+                ended = caller.call(
+                    "rack-registry", "issue-tag", "normal", key=key, wait_ms=2000
+                )
+                ends.append(ended.outcome)
+                if ended.outcome == "answered":
+                    bodies.add(ended.body)
+                if ended.outcome != "unknown" and rng.random() < 0.7:
+                    break
+                self._stop.wait(0.2)
+
+    def check(self) -> Counter:
+        """Hold what was told to what the backend servers ran."""
+        runs: Counter[str] = Counter()
+        for seen in self.fleet.standins():
+            assert not seen["repeated"]
+            runs.update(seen["keys"])
+        outcomes: Counter[str] = Counter()
+        for key, ends in self.told.items():
+            assert runs[key] <= 1, "a key ran twice"
+            assert len(self.bodies[key]) <= 1, "a key has two answers"
+            if "not_run" in ends:
+                assert runs[key] == 0, "told not run, but it ran"
+                assert "answered" not in ends
+            if "answered" in ends:
+                assert runs[key] == 1
+            outcomes[ends[-1]] += 1
+        return outcomes
+
+
+def test_kills_and_freezes_never_run_a_key_twice(fleet):
+    rng = random.Random(7)
+    with Callers(fleet) as callers:
+        for _ in range(5):
+            time.sleep(1.0)
+            name = rng.choice([*fleet.of("control"), *fleet.of("entry")])
+            if rng.random() < 0.5:
+                fleet.signal(name, signal.SIGSTOP)
+                time.sleep(rng.choice((0.5, 4.0)))
+                fleet.signal(name, signal.SIGCONT)
+            else:
+                fleet.kill(name)
+                time.sleep(1.0)
+                fleet.start(name)
+        time.sleep(3.0)
+    outcomes = callers.check()
+    assert outcomes["answered"] > 20
+
+
+def test_backend_killed_in_flight_is_never_told_not_run(fleet):
+    with Callers(fleet) as callers:
+        time.sleep(1.0)
+        fleet.standins(slow=10.0)
+        time.sleep(1.0)
+        fleet.kill("entry-1")
+        time.sleep(1.0)
+        fleet.start("entry-1")
+        fleet.standins(slow=1.0)
+        time.sleep(3.0)
+    callers.check()
+
+
+def edit(tmp_path: Path, number: int) -> Path:
+    """Write a text that differs from all others."""
+    text = json.loads(Path(TEXT).read_text())
+    text["services"][0]["kinds"][0]["deadline_ms"] = 1000 + number
+    file = tmp_path / f"text-{number}.txt"
+    file.write_text(json.dumps(text))
+    return file
+
+
+def test_operators_race_while_the_leader_dies(fleet, tmp_path):
+    accepted: dict[int, str] = {}
+    lock = threading.Lock()
+
+    def operate(person: int) -> None:
+        for turn in range(4):
+            number = person * 100 + turn
+            answer = fleet.submit(edit(tmp_path, number), id=f"p{number}")
+            if answer.get("version"):
+                with lock:
+                    assert answer["version"] not in accepted
+                    accepted[answer["version"]] = f"p{number}"
+
+    people = [threading.Thread(target=operate, args=(one,)) for one in range(3)]
+    for person in people:
+        person.start()
+    time.sleep(1.5)
+    leader = fleet.leader()
+    fleet.kill(leader)
+    time.sleep(3.0)
+    fleet.start(leader)
+    for person in people:
+        person.join()
+    wait_for(fleet.leader)
+    status = fleet.get(fleet.leader(), "/status")
+    assert status["accepted_version"] == max(accepted)
+    wait_for(lambda: fleet.get(fleet.leader(), "/status")["in_force"])
+    for name in fleet.of("entry"):
+        assert fleet.get(name, "/status")["text_version"] == max(accepted)
+
+
+def test_a_lost_data_folder_then_a_second_vm(fleet, tmp_path):
+    first = fleet.submit(edit(tmp_path, 1))
+    assert first["in_force"]
+    leader = fleet.leader()
+    lost = next(name for name in fleet.of("control") if name != leader)
+    fleet.kill(lost)
+    shutil.rmtree(fleet.settings(lost)["data"])
+    fleet.start(lost)
+
+    def replaced() -> bool:
+        status = fleet.get(fleet.leader(), "/status") if fleet.leader() else None
+        ids = [node["node"] for node in status["voters"]] if status else []
+        return len(ids) == 3 and f"{lost}/founder" not in ids
+
+    wait_for(replaced)
+    fleet.kill(leader)
+    wait_for(fleet.leader)
+    status = fleet.get(fleet.leader(), "/status")
+    assert status["accepted_version"] == first["version"]
+    assert fleet.submit(edit(tmp_path, 2))["in_force"]
+
+
+def test_members_cut_off_from_control_stop_what_may_be_forbidden(fleet):
+    for name in fleet.of("control"):
+        fleet.signal(name, signal.SIGSTOP)
+    time.sleep(4.0)
+    caller = fleet.caller()
+    ended = caller.call("rack-registry", "issue-tag", "normal", key=new_key())
+    assert (ended.outcome, ended.reason) == ("unknown", "cut_off")
+    ended = caller.call("deposit-ledger", "check-deposit", "urgent")
+    assert (ended.outcome, ended.reason) == ("not_run", "cut_off")
+    assert caller.call("rack-registry", "find-rack", "urgent").outcome == "answered"
+    for name in fleet.of("control"):
+        fleet.signal(name, signal.SIGCONT)
+    wait_for(fleet.is_ready, 15.0)
+
+
+def test_a_leaving_backend_server_gets_no_new_work_after_two_seconds(fleet):
+    at = fleet.settings("standin-rack-registry")["endpoints"][0]
+    url = f"http://{at['host']}:{at['port']}/standin"
+    stop = threading.Event()
+
+    def call() -> None:
+        caller = fleet.caller()
+        while not stop.is_set():
+            caller.call("rack-registry", "find-rack", "urgent")
+
+    threads = [threading.Thread(target=call) for _ in range(8)]
+    for thread in threads:
+        thread.start()
+    time.sleep(1.0)
+    announce = f"http://{fleet.plan['entries'][0]}/announce"
+    body = {
+        "endpoint": f"{at['host']}:{at['port']}",
+        "service": "rack-registry",
+        "region": at["region"],
+        "zone": at["zone"],
+        "slots": 9,
+        "state": "leaving",
+    }
+    urllib3.request("POST", url, body=b'{"state": "leaving"}')
+    urllib3.request("POST", announce, json=body)
+    time.sleep(2.0)
+    before = urllib3.request("POST", url, body=b"{}").json()["received"]
+    time.sleep(2.0)
+    after = urllib3.request("POST", url, body=b"{}").json()["received"]
+    stop.set()
+    for thread in threads:
+        thread.join()
+    assert after == before
