--- a/src/snipecart/entry/steering/queueing.py
+++ b/src/snipecart/entry/steering/queueing.py
@@ -28,6 +28,7 @@
 from .messages import Slot
 from .routing import KBIT_PER_KB
 from .routing import choose_endpoint
+from .routing import free_slots
 from .routing import link_name
 from .routing import may_cross
 from .state import COLD_AFTER
@@ -79,7 +80,11 @@
     for name in queue.service.depends_on:
         if not _present(state, name, now):
             return DependencyDown(name)
-    usable = [end for end in present if state.limit(end, item.kind, now) > 0]
+    usable = [
+        end
+        for end in present
+        if free_slots(state, end, item.kind, now) + end.in_flight > 0
+    ]
     if not usable:
         return NoEndpoint(f"{queue.service.name}: no share of any slot")
     if not any(may_cross(state, end, item.kind, now) for end in usable):
--- a/src/snipecart/entry/steering/routing.py
+++ b/src/snipecart/entry/steering/routing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 
 from ...core.ids import Instant
 from ...core.registry import Registry
@@ -54,18 +55,26 @@
     return budget is not None and budget.can_take(kbit, now)
 
 
+def free_slots(
+    state: SteerState, endpoint: Endpoint, kind: Kind, now: Instant
+) -> float:
+    """Return how many more calls a backend server may be given."""
+    if state.chosen.routing in UNBOUNDED:
+        return inf
+    return state.limit(endpoint, kind, now) - endpoint.in_flight
+
+
 def choose_endpoint(
     state: SteerState, queue: ServiceQueue, waiting: Waiting, now: Instant
 ) -> Endpoint | None:
     """Return the backend server for a call, None where all are taken."""
     kind = queue.kinds[waiting.ask.kind].kind
-    unbounded = state.chosen.routing in UNBOUNDED
     open_to_call = [
         endpoint
         for endpoint in state.of_service(queue.service.name)
         if endpoint.info.endpoint not in waiting.avoid
         and endpoint.takes_calls(now)
-        and (unbounded or endpoint.in_flight < state.limit(endpoint, kind, now))
+        and free_slots(state, endpoint, kind, now) > 0
         and may_cross(state, endpoint, kind, now)
     ]
     if not open_to_call:
--- a/src/snipecart/program/settings.py
+++ b/src/snipecart/program/settings.py
@@ -82,8 +82,6 @@
     """Look-ups, announcements, health and metrics."""
     listeners: Annotated[tuple[RankListener, ...], Field(min_length=1)]
     control: Annotated[tuple[ControlPeer, ...], Field(min_length=1)]
-    state: Path | None = None
-    """File that keeps observations of backend servers over a restart."""
     lookup_cache_s: Annotated[float, Field(gt=0, le=3600)] = 5.0
     drain_s: Annotated[float, Field(ge=0, le=3600)] = 6.0
     """Seconds a leaving process serves on; longer than look-ups are cached."""
