Keep counting a backend server's calls while it is away

Cause: in the flood of urgent calls 53 calls went over slots and 134 steady calls met 'no_endpoint'. Ruled out: the members' confirmation (no E3002) and ejection (one E3104). Stand-ins announced their servers one after another, each announcement waiting on a flooded process, so leases of 3 s lapsed; and a server that came back was taken for idle, its running calls forgotten.

--- a/src/snipecart/entry/steering/handlers.py
+++ b/src/snipecart/entry/steering/handlers.py
@@ -164,7 +164,6 @@
             effects += _carry_over(state, before, queue)
     for before in old.values():
         effects += _refuse_all(state, before)
-    _drop_unlisted(state)
     return effects + _serve_all(state, now)
 
 
@@ -191,13 +190,16 @@
     return effects
 
 
-def _drop_unlisted(state: SteerState) -> None:
+def _forget_endpoints(state: SteerState, now: Instant) -> None:
+    """Forget backend servers that are gone, once none of their slots is in use."""
     for key, endpoint in list(state.endpoints.items()):
-        if not _is_listed(state, endpoint.info):
+        present = endpoint.listed or now < endpoint.own_lease
+        wanted = present and _is_in_text(state, endpoint.info)
+        if not wanted and not endpoint.in_flight:
             del state.endpoints[key]
 
 
-def _is_listed(state: SteerState, info: Announcement) -> bool:
+def _is_in_text(state: SteerState, info: Announcement) -> bool:
     queue = state.queues.get(info.service)
     zones = {place.zone for place in queue.service.places} if queue else set()
     return info.zone in zones
@@ -231,10 +233,8 @@
     state: SteerState, announcements: tuple[Announcement, ...], now: Instant
 ) -> None:
     listed = {item.endpoint for item in announcements}
-    for key, endpoint in list(state.endpoints.items()):
+    for key, endpoint in state.endpoints.items():
         endpoint.listed = key in listed
-        if not endpoint.listed and now >= endpoint.own_lease:
-            del state.endpoints[key]
     for info in announcements:
         _note_endpoint(state, info, now).listed = True
 
@@ -243,7 +243,7 @@
     known = state.endpoints.get(info.endpoint)
     if known is None:
         known = Endpoint(info, Observed(), own_lease=Instant(0.0), warm_from=now)
-        if _is_listed(state, info) or state.text is None:
+        if _is_in_text(state, info) or state.text is None:
             state.endpoints[info.endpoint] = known
     if info.state is EndpointState.LEAVING and known.info.state is not info.state:
         emit(ENDPOINT_LEAVING, endpoint=info.endpoint)
@@ -284,6 +284,7 @@
 @STEERS.register(Tick)
 def handle_tick(state: SteerState, _: Tick, now: Instant) -> list[Effect]:
     """Let probes begin, refuse calls that wait too long, measure demand."""
+    _forget_endpoints(state, now)
     for endpoint in state.endpoints.values():
         endpoint.observed.refresh(now)
     wanted: dict[ServiceName, float] = defaultdict(float)
