Announce each stand-in by itself, and use only places the text has

Change: each server announces by itself, for 5 s; backend servers count only in places that the text has. Tests that failed first: a server that comes back is not taken for idle, a place taken out of the text.

--- a/src/snipecart/bench/standin.py
+++ b/src/snipecart/bench/standin.py
@@ -195,13 +195,13 @@
 
 
 class Announcer(Task):
-    """Announce backend servers to entry processes."""
+    """Announce one backend server to entry processes in turn."""
 
-    def __init__(self, cfg: StandinSettings, servers: list[BackendServer]) -> None:
-        super().__init__("announcer")
-        self._cfg, self._servers = cfg, servers
+    def __init__(self, cfg: StandinSettings, server: BackendServer, turn: int) -> None:
+        super().__init__(f"announcer {server.endpoint}")
+        self._cfg, self._server = cfg, server
         self._pool = urllib3.PoolManager(maxsize=1)
-        self._turn = 0
+        self._turn = turn
         self._due = 0.0
 
     def next_wait(self, now: float) -> float:
@@ -209,16 +209,15 @@
         return self._due - now
 
     def handle(self, batch: list[Any], now: float) -> None:
-        """Announce all servers in turn to entry processes; a leaving one to two."""
+        """Announce the server to one entry process, to two when it leaves."""
         if not batch and now < self._due:
             return
         self._due = now + self._cfg.announce_ms / 1000
         self._turn += 1
-        for at, server in enumerate(self._servers):
-            leaving = server.state is EndpointState.LEAVING
-            for step in range(min(1 + leaving, len(self._cfg.entries))):
-                entry = (at + self._turn + step) % len(self._cfg.entries)
-                self._announce(server, self._cfg.entries[entry])
+        leaving = self._server.state is EndpointState.LEAVING
+        for step in range(min(1 + leaving, len(self._cfg.entries))):
+            entry = (self._turn + step) % len(self._cfg.entries)
+            self._announce(self._server, self._cfg.entries[entry])
 
     def _announce(self, server: BackendServer, entry: str) -> None:
         body = {
@@ -263,17 +262,20 @@
         thread = threading.Thread(target=listener.serve, daemon=True)
         thread.start()
         listeners.append(listener)
-    announcer = Announcer(cfg, servers)
-    announcer.start()
+    announcers = [Announcer(cfg, server, at) for at, server in enumerate(servers)]
+    for announcer in announcers:
+        announcer.start()
     try:
         yield servers
         for server in servers:
             server.state = EndpointState.LEAVING
-        announcer.post("leaving")
+        for announcer in announcers:
+            announcer.post("leaving")
         threading.Event().wait(cfg.announce_ms / 1000 + 2.0)
     finally:
         for server in servers:
             server.stopping.set()
-        announcer.stop()
+        for announcer in announcers:
+            announcer.stop()
         for listener in listeners:
             listener.stop()
--- a/src/snipecart/entry/steering/state.py
+++ b/src/snipecart/entry/steering/state.py
@@ -281,9 +281,13 @@
         )
 
     def of_service(self, service: ServiceName) -> list[Endpoint]:
-        """List the known backend servers of a service."""
+        """List the known backend servers of a service, in places that the text has."""
+        queue = self.queues.get(service)
+        zones = {place.zone for place in queue.service.places} if queue else set()
         return [
-            item for item in self.endpoints.values() if item.info.service == service
+            item
+            for item in self.endpoints.values()
+            if item.info.service == service and item.info.zone in zones
         ]
 
 
--- a/src/snipecart/program/settings.py
+++ b/src/snipecart/program/settings.py
@@ -113,7 +113,7 @@
     cold_s: Annotated[float, Field(ge=0)] = 0.0
     """Seconds after start in which calls take ``cold_factor`` times as long."""
     cold_factor: Annotated[float, Field(ge=1)] = 3.0
-    lease_ms: Annotated[int, Field(ge=100)] = 3000
+    lease_ms: Annotated[int, Field(ge=100)] = 5000
     announce_ms: Annotated[int, Field(ge=50)] = 1000
     log_level: str = "WARNING"
 
--- a/tests/entry/test_steering.py
+++ b/tests/entry/test_steering.py
@@ -269,3 +269,22 @@
     refused = [call for call in flood if world.refused(call)]
     assert world.refused(refused[0]) == "cannot_meet_deadline"
     assert not world.refused(world.ask(caller="quiet"))
+
+
+def test_a_server_that_comes_back_is_not_taken_for_idle():
+    world = ready({"e1:1": 2})
+    calls = [world.ask(), world.ask()]
+    world.confirm({"e2:1": 0}, ends=["e2:1"])
+    world.run(Tick())
+    world.confirm({"e1:1": 2})
+    world.warm()
+    assert not world.granted(world.ask())
+    assert world.state.endpoints["e1:1"].in_flight == 2
+    world.end(calls[0])
+
+
+def test_a_place_taken_out_of_the_text_gets_no_new_work():
+    world = ready({"e1:1": 2, "eq1:1": 2, "link/r>q": 1000})
+    other = {"zone": "q-a", "endpoints": 2, "slots": 3}
+    world.run(TextInForce(6, make_text(places=[other])))
+    assert world.granted(world.ask()) == "eq1:1"
