--- a/bench/policy.py
+++ b/bench/policy.py
@@ -113,7 +113,7 @@
             path = Path(folder)
             options = {"entries": 7, "part": 4, "service_ms": SERVICE_MS, "drain_s": 1}
             text = write_text(path)
-            with running_fleet(path, "127.40", text, **options, **chosen) as fleet:
+            with running_fleet(path, "127.40", text=text, **options, **chosen) as fleet:
                 if before is not None:
                     before(fleet)
                 self._offer(fleet, row, part, flood, during)
