--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -154,15 +154,32 @@
         self.processes[name].kill()
         self.processes[name].wait()
 
+    def standin(self, at: dict[str, Any], **behaviour: Any) -> dict[str, Any]:
+        """Set how one stand-in behaves, and return what it saw."""
+        url = f"http://{at['host']}:{at['port']}/standin"
+        body = json.dumps(behaviour)
+        return urllib3.request("POST", url, body=body, retries=False).json()
+
+    def leave(self, service: str, at: dict[str, Any]) -> None:
+        """Have one stand-in leave, and announce it to one entry process."""
+        self.standin(at, state="leaving")
+        body = {
+            "endpoint": f"{at['host']}:{at['port']}",
+            "service": service,
+            "region": at["region"],
+            "zone": at["zone"],
+            "slots": self.settings(f"standin-{service}")["slots"],
+            "state": "leaving",
+        }
+        entry = self.plan["entries"][0]
+        urllib3.request("POST", f"http://{entry}/announce", json=body, retries=False)
+
     def standins(self, **behaviour: Any) -> list[dict[str, Any]]:
         """Set how all stand-ins behave, and return what they saw."""
         seen = []
         for name in self.of("standin"):
             for at in self.settings(name)["endpoints"]:
-                url = f"http://{at['host']}:{at['port']}/standin"
-                body = json.dumps(behaviour)
-                answer = urllib3.request("POST", url, body=body, retries=False)
-                seen.append(answer.json())
+                seen.append(self.standin(at, **behaviour))
         return seen
 
     def stop(self) -> None:
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -21,7 +21,6 @@
 from typing import Any
 
 import click
-import urllib3
 
 from bench.fleet import BIN
 from bench.fleet import TEXT
@@ -261,8 +260,7 @@
 def set_standin(fleet: Fleet, places: slice, **behaviour: Any) -> None:
     """Set how some of the registry's stand-ins behave."""
     for at in fleet.settings("standin-rack-registry")["endpoints"][places]:
-        url = f"http://{at['host']}:{at['port']}/standin"
-        urllib3.request("POST", url, body=json.dumps(behaviour), retries=False)
+        fleet.standin(at, **behaviour)
 
 
 @SCENARIOS.register("slow-endpoint")
@@ -302,6 +300,33 @@
     bench.hold("find-rack kept", goodput(row, "find-rack"), 0.95, most=False)
 
 
+@SCENARIOS.register("region-gone")
+def region_gone(bench: Bench) -> None:
+    """All backend servers of one region of three fall silent."""
+
+    def silence(fleet: Fleet) -> None:
+        set_standin(fleet, slice(0, 2), silent=True)
+
+    bench.run("region gone", 0.4, during=silence)
+
+
+@SCENARIOS.register("drain")
+def drain(bench: Bench) -> None:
+    """One backend server leaves; time from its word to its last new call."""
+    watched = 5.0
+
+    def leave(fleet: Fleet) -> float:
+        at = fleet.settings("standin-rack-registry")["endpoints"][0]
+        fleet.leave("rack-registry", at)
+        time.sleep(watched)
+        return max(0.0, watched - fleet.standin(at)["idle_s"])
+
+    row = bench.run("drain", 0.6, during=leave)
+    bench.hold("seconds to no new work", row.notes["during"], 2.0, most=True)
+    broken = sum(one["reasons"].get("backend_broken", 0) for one in row.streams)
+    bench.hold("requests cut off", broken, 0, most=True)
+
+
 @SCENARIOS.register("control-frozen")
 def control_frozen(bench: Bench) -> None:
     """The leading control process freezes for the rest of the run."""
--- a/src/snipecart/cli/control_web.py
+++ b/src/snipecart/cli/control_web.py
@@ -4,6 +4,7 @@
 
 import json
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 from typing import Any
 
 import urllib3
@@ -15,6 +16,9 @@
 from ..core.failures import Failure
 from ..core.failures import NoQuorum
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 REQUEST_WAIT = 8.0
 """Seconds for one request."""
 
@@ -52,7 +56,9 @@
 class ControlWeb:
     """Ask any control process, and the leader where it must be the leader."""
 
-    def __init__(self, addresses: tuple[str, ...], pause) -> None:
+    def __init__(
+        self, addresses: tuple[str, ...], pause: Callable[[float], None]
+    ) -> None:
         self._addresses = list(addresses)
         self._pool = urllib3.PoolManager(maxsize=2)
         self._pause = pause
@@ -72,7 +78,7 @@
                 last = answer.error
                 if last.reason not in ("not_leader", "no_quorum", "busy"):
                     return answer
-                self._prefer(last.detail)
+                self.prefer(last.detail)
         return Error(last)
 
     def ask_each(self, path: str) -> dict[str, Result[Reply, Failure]]:
@@ -82,7 +88,8 @@
             for address in self._addresses
         }
 
-    def _prefer(self, address: str) -> None:
+    def prefer(self, address: str) -> None:
+        """Ask an address first from now on."""
         if address in self._addresses:
             self._addresses.remove(address)
             self._addresses.insert(0, address)
--- a/src/snipecart/cli/operator.py
+++ b/src/snipecart/cli/operator.py
@@ -201,7 +201,7 @@
         status = answer.ok.json() if answer.is_ok() else {}
         leader = status.get("leader_web", "")
         if status and status["role"] != "leader" and leader:
-            web._prefer(leader)
+            web.prefer(leader)
             status = {}
         if status.get("in_force") and status["accepted_version"] >= version:
             took = time.monotonic() - began
--- a/src/snipecart/control/factory.py
+++ b/src/snipecart/control/factory.py
@@ -39,6 +39,7 @@
 from .raft.state import RaftState
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
     from ..core.failures import Failure
@@ -136,7 +137,12 @@
     """Drop answers: peers talk over links of their own."""
 
 
-def make_node(cfg: ControlSettings, recovered: Recovered, links: Links, persist):
+def make_node(
+    cfg: ControlSettings,
+    recovered: Recovered,
+    links: Links,
+    persist: Callable[[Any], bool],
+) -> NodeTask:
     """Return the node task."""
     state = make_state(recovered, uuid.uuid4().int)
     machine = load_state(state.snapshot.state) if state.snapshot else MachineState()
--- a/src/snipecart/control/lead.py
+++ b/src/snipecart/control/lead.py
@@ -27,6 +27,8 @@
 from .leases.ledger import Ledger
 
 if TYPE_CHECKING:
+    from ..messages.members import Announcement
+    from ..messages.members import Member
     from ..text.model import Text
 
 DIVIDE_EVERY = 0.25
@@ -108,10 +110,10 @@
             if item.text_version < version
         ]
 
-    def _members(self):
+    def _members(self) -> tuple[Member, ...]:
         return tuple(item.member for item in self.directory.members.values())
 
-    def _endpoints(self):
+    def _endpoints(self) -> tuple[Announcement, ...]:
         return tuple(item.announcement for item in self.directory.endpoints.values())
 
     def _divide(self, accepted: AcceptedText, now: Instant) -> None:
@@ -141,7 +143,7 @@
         self._targets = targets
 
     def _current(
-        self, member: MemberId, endpoints, now: Instant
+        self, member: MemberId, endpoints: list[Announcement], now: Instant
     ) -> dict[EndpointId, int]:
         """Return what a member was to have, or has from an earlier leader."""
         known = self._targets.get(member)
--- a/src/snipecart/control/node.py
+++ b/src/snipecart/control/node.py
@@ -2,65 +2,47 @@
 
 from __future__ import annotations
 
-import time
-from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 from typing import Any
 
-from ..core.events import BECAME_LEADER
-from ..core.events import LOST_LEAD
-from ..core.events import SNAPSHOT_INSTALLED
 from ..core.events import SNAPSHOT_TAKEN
 from ..core.events import TEXT_ACCEPTED
-from ..core.events import VOTERS_CHANGED
 from ..core.events import emit
-from ..core.failures import Busy
 from ..core.failures import Failure
 from ..core.failures import NoQuorum
 from ..core.failures import NotLeader
 from ..core.ids import Instant
 from ..core.ids import LogIndex
 from ..core.ids import NodeId
-from ..core.ids import UnixMillis
-from ..core.registry import Registry
 from ..core.states import Role
 from ..core.task import Task
-from ..messages.commands import ClaimKey
 from ..messages.commands import Node
-from ..messages.commands import RecordOutcome
 from ..messages.commands import Refused
-from ..messages.commands import SealNotRun
-from ..messages.commands import SubmitText
-from ..messages.members import FetchText
-from ..messages.members import Heartbeat
-from ..messages.members import TextAnswer
 from ..messages.raft import JoinRequest
 from ..text.parse import parse_text
 from ..wire.links import Received
 from . import raft
+from .effects import EFFECTS
 from .lead import AcceptedText
 from .lead import Lead
 from .machine.state import MachineState
-from .machine.state import apply_entry
 from .machine.state import dump_state
-from .machine.state import load_state
 from .raft.state import HANDLERS
-from .raft.state import Apply
 from .raft.state import Compact
 from .raft.state import Flush
-from .raft.state import Persist
-from .raft.state import PersistSnapshot
-from .raft.state import Propose
 from .raft.state import RaftState
-from .raft.state import Restore
-from .raft.state import RoleChanged
-from .raft.state import Send
-from .raft.state import SendSynced
 from .raft.state import Tick
-from .raft.state import VotersChanged
 from .raft.state import step
+from .requests import REQUESTS
+from .requests import refused
 
-__all__ = ["NodeStatus", "NodeTask", "Outlets", "StatusQuery", "raft"]
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..text.model import Text
+
+__all__ = ["NodeTask", "Outlets", "raft"]
 
 EVERYONE = NodeId("*")
 """Stands for all other control processes."""
@@ -68,9 +50,6 @@
 SNAPSHOT_EVERY = 2000
 """Entries applied between two snapshots."""
 
-MAX_OPEN = 4096
-"""Proposals that may wait to be committed."""
-
 TICK = 0.02
 """Seconds between two looks at the clock, at the least."""
 
@@ -81,32 +60,6 @@
 """Seconds between two tries of a blank process to join."""
 
 
-@dataclass(frozen=True)
-class StatusQuery:
-    """Ask what this process knows; answered by NodeStatus."""
-
-
-@dataclass(frozen=True)
-class NodeStatus:
-    """Tell what a control process knows."""
-
-    node: NodeId
-    role: Role
-    leader: NodeId
-    term: int
-    commit: int
-    voters: tuple[Node, ...]
-    learners: tuple[Node, ...]
-    confirmed: bool
-    version: int
-    text: bytes
-    in_force: bool
-    lagging: tuple[str, ...]
-    members: tuple[Any, ...]
-    endpoints: tuple[Any, ...]
-    claims: int
-
-
 @dataclass(frozen=True)
 class Outlets:
     """Hold where the node's effects leave it."""
@@ -120,14 +73,6 @@
     """Report a disk task that no longer takes effects."""
 
 
-RequestHandler = Callable[["NodeTask", Received, Instant], Any]
-
-REQUESTS: Registry[type[Any], RequestHandler] = Registry("requests to a control node")
-EFFECTS: Registry[type[Any], Callable[[NodeTask, Any, Instant], Any]] = Registry(
-    "effects of the log"
-)
-
-
 class NodeTask(Task):
     """Own the log's state, the replicated state and a leader's leases."""
 
@@ -144,7 +89,7 @@
         self.open: dict[LogIndex, Callable[[Any], None]] = {}
         self._tick_due = Instant(0.0)
         self._join_due = Instant(0.0)
-        self._snapshot_index = state.commit
+        self.snapshot_index = state.commit
 
     def next_wait(self, now: Instant) -> float:
         """Block until the log has something due."""
@@ -213,141 +158,16 @@
         self.outlets.send(EVERYONE, JoinRequest(self.me))
 
     def _compact(self, now: Instant) -> None:
-        if self.state.commit < self._snapshot_index + SNAPSHOT_EVERY:
+        if self.state.commit < self.snapshot_index + SNAPSHOT_EVERY:
             return
-        self._snapshot_index = self.state.commit
+        self.snapshot_index = self.state.commit
         data = dump_state(self.machine)
         self.run(step(self.state, Compact(data, self.state.commit), now), now)
         emit(SNAPSHOT_TAKEN, index=self.state.commit, size=len(data))
 
 
-def refused(failure: Failure) -> Refused:
-    """Return a failure as a message."""
-    return Refused(failure.reason, failure.detail)
-
-
-def _parsed(text: bytes):
+def _parsed(text: bytes) -> Text | None:
     if not text:
         return None
     parsed = parse_text(text)
     return parsed.ok if parsed.is_ok() else None
-
-
-@EFFECTS.register(Send)
-def run_send(node: NodeTask, effect: Send, now: Instant) -> None:
-    """Send to a peer at once."""
-    node.outlets.send(effect.to, effect.message)
-
-
-@EFFECTS.register(SendSynced)
-@EFFECTS.register(Persist)
-@EFFECTS.register(PersistSnapshot)
-def run_persist(node: NodeTask, effect: Any, now: Instant) -> None:
-    """Hand on to the disk in order."""
-    node.persist(effect)
-
-
-@EFFECTS.register(Apply)
-def run_apply(node: NodeTask, effect: Apply, now: Instant) -> None:
-    """Apply committed entries and answer who proposed them."""
-    for entry in effect.entries:
-        answer = apply_entry(node.machine, entry)
-        node.adopt()
-        reply = node.open.pop(entry.index, None)
-        if reply is not None:
-            reply(answer)
-
-
-@EFFECTS.register(Restore)
-def run_restore(node: NodeTask, effect: Restore, now: Instant) -> None:
-    """Replace the replicated state."""
-    node.machine = load_state(effect.snapshot.state)
-    node._snapshot_index = effect.snapshot.index
-    node.adopt()
-    emit(SNAPSHOT_INSTALLED, index=effect.snapshot.index)
-
-
-@EFFECTS.register(RoleChanged)
-def run_role_changed(node: NodeTask, effect: RoleChanged, now: Instant) -> None:
-    """Start or drop what only a leader keeps."""
-    node.drop_open(NotLeader())
-    if effect.role is Role.LEADER:
-        node.lead = Lead(effect.term, now)
-        emit(BECAME_LEADER, term=effect.term)
-    else:
-        node.lead = None
-        emit(LOST_LEAD, term=effect.term)
-
-
-@EFFECTS.register(VotersChanged)
-def run_voters_changed(node: NodeTask, effect: VotersChanged, now: Instant) -> None:
-    """Keep links to all who are in the log."""
-    node.outlets.relink((*effect.voters, *effect.learners))
-    voters = ",".join(voter.node for voter in effect.voters)
-    emit(VOTERS_CHANGED, voters=voters, learners=len(effect.learners))
-
-
-@REQUESTS.register(SubmitText)
-@REQUESTS.register(ClaimKey)
-@REQUESTS.register(RecordOutcome)
-@REQUESTS.register(SealNotRun)
-def propose_command(node: NodeTask, req: Received, now: Instant) -> None:
-    """Put a command into the log; it is answered when applied."""
-    failure = node.refusal(now)
-    if failure is None and len(node.open) >= MAX_OPEN:
-        failure = Busy("too many proposals wait")
-    if failure is not None:
-        req.reply(refused(failure))
-        return
-    at = UnixMillis(int(time.time() * 1000))
-    node.run(step(node.state, Propose(req.message, at), now), now)
-    node.open[node.state.log.last_index] = req.reply
-
-
-@REQUESTS.register(Heartbeat)
-def answer_heartbeat(node: NodeTask, req: Received, now: Instant) -> None:
-    """Confirm the text to a member and renew its shares."""
-    failure = node.refusal(now)
-    if failure is not None or node.lead is None:
-        req.reply(refused(failure or NotLeader()))
-        return
-    req.reply(node.lead.answer(req.message, node.accepted, now))
-
-
-@REQUESTS.register(FetchText)
-def answer_fetch(node: NodeTask, req: Received, now: Instant) -> None:
-    """Give the accepted text."""
-    failure = node.refusal(now)
-    if failure is not None:
-        req.reply(refused(failure))
-        return
-    req.reply(TextAnswer(node.machine.version, node.machine.text))
-
-
-@REQUESTS.register(StatusQuery)
-def answer_status(node: NodeTask, req: Received, now: Instant) -> None:
-    """Tell what this process knows."""
-    state, lead = node.state, node.lead
-    confirmed = node.refusal(now) is None
-    members = lead.directory.members.values() if lead else ()
-    endpoints = lead.directory.endpoints.values() if lead else ()
-    version = node.machine.version
-    req.reply(
-        NodeStatus(
-            state.me,
-            state.role,
-            state.leader,
-            state.term,
-            state.commit,
-            state.voters,
-            state.learners,
-            confirmed,
-            version,
-            node.machine.text,
-            bool(confirmed and lead and lead.in_force(version, now)),
-            tuple(lead.lagging(version)) if lead else (),
-            tuple(members),
-            tuple(item.announcement for item in endpoints),
-            len(node.machine.claims),
-        )
-    )
--- a/src/snipecart/control/pages.py
+++ b/src/snipecart/control/pages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from concurrent.futures import Future
+from typing import TYPE_CHECKING
 from typing import Any
 
 import cherrypy
@@ -30,9 +31,11 @@
 from ..text.parse import parse_text
 from ..wire.links import Received
 from .metrics import REFUSALS
-from .node import NodeStatus
-from .node import NodeTask
-from .node import StatusQuery
+from .requests import NodeStatus
+from .requests import StatusQuery
+
+if TYPE_CHECKING:
+    from .node import NodeTask
 
 ANSWER_WAIT = 5.0
 """Seconds an operator's request waits for the quorum."""
--- a/src/snipecart/entry/pages.py
+++ b/src/snipecart/entry/pages.py
@@ -35,6 +35,7 @@
 
 if TYPE_CHECKING:
     from ..core.task import Task
+    from .explain import Explanation
     from .steering.state import SteerState
     from .steering.task import SteeringTask
 
@@ -109,7 +110,9 @@
         return answer_failure(failure)
 
 
-def _explain(state: SteerState, now: Instant, service: ServiceName, kind: KindName):
+def _explain(
+    state: SteerState, now: Instant, service: ServiceName, kind: KindName
+) -> Explanation:
     return explain(state, service, kind, now)
 
 
