Let a call wait for a share that is on its way

Cause: in the flood of deferrable calls 4 of 316 find-rack calls met 'no_endpoint': a slot that moves between servers leaves a small member with none for two heartbeats. Test that failed first.

--- a/src/snipecart/entry/steering/queueing.py
+++ b/src/snipecart/entry/steering/queueing.py
@@ -91,12 +91,21 @@
         if free_slots(state, end, item.kind, now) + end.in_flight > 0
     ]
     if not usable:
-        return NoEndpoint(f"{queue.service.name}: no share of any slot")
+        return _find_lost_share(state, queue, now)
     if not any(may_cross(state, end, item.kind, now) for end in usable):
         return LinkCapReached()
     return None
 
 
+def _find_lost_share(
+    state: SteerState, queue: ServiceQueue, now: Instant
+) -> Failure | None:
+    """Let a call wait for a share that may be on its way, while the lease runs."""
+    if now < state.shares_until:
+        return None
+    return NoEndpoint(f"{queue.service.name}: no share of any slot")
+
+
 def _present(state: SteerState, service: ServiceName, now: Instant) -> list[Endpoint]:
     return [item for item in state.of_service(service) if item.takes_calls(now)]
 
--- a/tests/entry/test_steering.py
+++ b/tests/entry/test_steering.py
@@ -305,3 +305,13 @@
     for _ in range(4):
         world.end(world.ask(), DispatchEnd.BROKEN, 0.01)
     assert world.state.endpoints["e1:1"].observed.health is Health.PROBING
+
+
+def test_a_call_waits_for_a_share_on_its_way():
+    world = ready({"e1:1": 0, "e2:1": 0}, ends=["e1:1", "e2:1"])
+    call = world.ask("slow")
+    assert not world.refused(call)
+    world.confirm({"e1:1": 1})
+    assert world.granted(call)
+    world.now = Instant(world.now + 3.0)
+    assert world.refused(world.ask("fast", service="base")) == "no_endpoint"
