--- a/tests/entry/test_steering.py
+++ b/tests/entry/test_steering.py
@@ -326,4 +326,4 @@
         world.run(Tick())
     for item in world.state.endpoints.values():
         item.observed.health = Health.TRUSTED
-    assert world.granted(world.ask())
+    assert world.granted(world.ask(seconds=1.5))
