--- a/src/snipecart/cli/operator.py
+++ b/src/snipecart/cli/operator.py
@@ -208,7 +208,10 @@
             value = {"version": version, "in_force": True, "seconds": round(took, 3)}
             _print(value, [f"in force everywhere after {took:.2f} s"], as_json)
             return
-        lagging = status.get("lagging", lagging)
+        if status.get("lagging", lagging) != lagging:
+            lagging = status["lagging"]
+            if not as_json:
+                click.echo(f"waiting for {len(lagging)} members")
         pause(POLL)
     value = {"version": version, "in_force": False, "lagging": lagging}
     names = ", ".join(lagging) or "not known"
