--- a/src/snipecart/entry/filters/answer.py
+++ b/src/snipecart/entry/filters/answer.py
@@ -4,6 +4,10 @@
 
 from typing import TYPE_CHECKING
 
+from ...core.failures import BodyTooLarge
+from ...core.failures import NoText
+from ...core.failures import UnknownKind
+from ...core.failures import UnknownService
 from ...core.states import Outcome
 from ...core.task import monotonic
 from ..call import AnsweredCall
@@ -19,6 +23,10 @@
     from ...core.failures import Failure
 
 
+UNKNOWN_NAMES = (UnknownService, UnknownKind, NoText, BodyTooLarge)
+"""Failures told before a call's names are known to be in the text."""
+
+
 def count_end(req: CallRequest, ended: Result[AnsweredCall, Failure]) -> None:
     """Count a call by outcome, and a refusal or failure by its reason."""
     if ended.is_ok():
@@ -29,4 +37,6 @@
     failed = ended.error
     if isinstance(failed, CallFailed):
         REFUSALS.labels(failed.failure.reason).inc()
-        CALLS.labels("", "", failed.outcome).inc()
+        unknown = isinstance(failed.failure, UNKNOWN_NAMES)
+        names = ("", "") if unknown else (req.service, req.kind)
+        CALLS.labels(*names, failed.outcome).inc()
