Eject a backend server that sheds every call

Change: only an answer is a good end; three sheds in a row eject for a second. Test that failed first: a server that sheds all.

--- a/src/snipecart/entry/steering/health.py
+++ b/src/snipecart/entry/steering/health.py
@@ -36,8 +36,6 @@
 MIN_SAMPLES = 8
 """Samples before slowness is judged."""
 
-GOOD_ENDS = frozenset({DispatchEnd.ANSWERED, DispatchEnd.SHED})
-
 
 @dataclass
 class Observed:
@@ -54,18 +52,17 @@
 
     def note(self, end: DispatchEnd, seconds: float, now: Instant) -> None:
         """Take in the end of one dispatch."""
-        if end in GOOD_ENDS:
-            self._note_good(end, seconds)
+        if end is DispatchEnd.ANSWERED:
+            self._note_good(seconds)
         else:
             self._note_bad(now)
 
-    def _note_good(self, end: DispatchEnd, seconds: float) -> None:
+    def _note_good(self, seconds: float) -> None:
         self.bad_in_row = 0
-        if end is DispatchEnd.ANSWERED:
-            self.good_in_row += 1
-            self.samples += 1
-            fresh = self.samples == 1
-            self.latency += (seconds - self.latency) * (1.0 if fresh else SMOOTHING)
+        self.good_in_row += 1
+        self.samples += 1
+        fresh = self.samples == 1
+        self.latency += (seconds - self.latency) * (1.0 if fresh else SMOOTHING)
         if self.health is Health.PROBING and self.good_in_row >= SUCCESSES_TO_TRUST:
             self.health = Health.TRUSTED
             self.ejections = 0
--- a/tests/entry/test_steering.py
+++ b/tests/entry/test_steering.py
@@ -327,3 +327,14 @@
     for item in world.state.endpoints.values():
         item.observed.health = Health.TRUSTED
     assert world.granted(world.ask(seconds=1.5))
+
+
+def test_a_server_that_sheds_all_is_ejected():
+    world = ready({f"e{at}:1": 2 for at in range(1, 5)})
+    shed = 0
+    for _ in range(60):
+        call = world.ask()
+        bad = world.granted(call) == "e1:1"
+        shed += bad
+        world.end(call, DispatchEnd.SHED if bad else DispatchEnd.ANSWERED, 0.02)
+    assert shed == 3
