--- a/src/snipecart/cli/operator.py
+++ b/src/snipecart/cli/operator.py
@@ -255,7 +255,9 @@
         f"  backend servers: {len(known['endpoints'])}, claims: {known['claims']}",
     ]
     for member in known["members"]:
-        lines.append(f"  member {member['member']} on text {member['text_version']}")
+        lines.append(
+            f"  member {member['member']['member']} on text {member['text_version']}"
+        )
     return lines
 
 
