--- a/src/snipecart/entry/lookup.py
+++ b/src/snipecart/entry/lookup.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from itertools import count
 from random import Random
 from typing import TYPE_CHECKING
@@ -26,14 +25,6 @@
 """Entry processes that one answer names, each in another availability zone."""
 
 
-@dataclass(frozen=True)
-class LookupAnswer:
-    """Name entry processes, best first, and how long the answer may be cached."""
-
-    entries: tuple[Member, ...]
-    cache_s: float
-
-
 def choose_entries(
     members: tuple[Member, ...], region: RegionName, turn: int
 ) -> tuple[Member, ...]:
--- a/src/snipecart/entry/steering/handlers.py
+++ b/src/snipecart/entry/steering/handlers.py
@@ -6,7 +6,9 @@
 from statistics import median
 from typing import TYPE_CHECKING
 
+from ...core.events import ENDPOINT_ANNOUNCED
 from ...core.events import ENDPOINT_EJECTED
+from ...core.events import ENDPOINT_LAPSED
 from ...core.events import ENDPOINT_LEAVING
 from ...core.events import ENDPOINT_READMITTED
 from ...core.events import TEXT_IN_FORCE
@@ -207,6 +209,8 @@
         wanted = present and _is_in_text(state, endpoint.info)
         if not wanted and not endpoint.in_flight:
             del state.endpoints[key]
+            if not present:
+                emit(ENDPOINT_LAPSED, endpoint=key)
 
 
 def _is_in_text(state: SteerState, info: Announcement) -> bool:
@@ -255,6 +259,7 @@
         known = Endpoint(info, Observed(), own_lease=Instant(0.0), warm_from=now)
         if _is_in_text(state, info) or state.text is None:
             state.endpoints[info.endpoint] = known
+            emit(ENDPOINT_ANNOUNCED, endpoint=info.endpoint)
     if info.state is EndpointState.LEAVING and known.info.state is not info.state:
         emit(ENDPOINT_LEAVING, endpoint=info.endpoint)
     known.info = info
