--- /dev/null
+++ b/src/snipecart/control/discovery/task.py
@@ -0,0 +1,255 @@
+"""Own what is known of backend servers and gateways, and spread the news of it."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+from ...core.events import GATEWAY_HEARD
+from ...core.events import GATEWAY_SILENT
+from ...core.events import INSTANCE_CHANGED
+from ...core.events import INSTANCE_GONE
+from ...core.events import REPORT_STALE
+from ...core.events import REPORT_UNCONFIRMED
+from ...core.events import emit
+from ...core.ids import Instant
+from ...core.ids import LogIndex
+from ...core.ids import MemberId
+from ...core.ids import RoutingVersion
+from ...core.ids import VmName
+from ...core.ids import ZoneName
+from ...core.registry import Registry
+from ...core.task import Task
+from ...core.task import monotonic
+from ...messages.discovery import Gateway
+from ...messages.discovery import Gossip
+from ...messages.discovery import Heard
+from ...messages.discovery import InstanceChanged
+from ...messages.discovery import InstanceSeen
+from ...messages.discovery import RoutingChanged
+from ...messages.discovery import SyncAnswer
+from ...messages.discovery import SyncRequest
+from ...wire.links import Received
+from .gateways import CONFIRM_LIMIT
+from .gateways import CONTACT
+from .gateways import NAMED
+from .gateways import GatewayTable
+from .gateways import Unconfirmed
+from .table import Change
+from .table import InstanceTable
+from .table import ReportVerdict
+from .table import is_leaving
+
+if TYPE_CHECKING:
+    from ...messages.commands import Node
+    from ...messages.discovery import Instance
+
+GOSSIP_EVERY = 0.3
+"""Seconds between two gossips to the other control processes."""
+
+EXPIRE_EVERY = 1.0
+"""Seconds between two looks for silent instances."""
+
+SETTLED = 4.0
+"""Seconds from start until every living instance has reported to somebody."""
+
+
+@dataclass(frozen=True)
+class Report:
+    """Hand in a backend server's report; ``reply`` tells whether it is confirmed."""
+
+    instance: Instance
+    gone: bool
+    reply: Callable[[bool], None]
+
+
+@dataclass(frozen=True)
+class Adopted:
+    """Tell what the log holds now."""
+
+    routing_version: RoutingVersion = RoutingVersion(0)
+    routing: bytes = b""
+    evacuation_index: LogIndex = LogIndex(0)
+    evacuated: tuple[ZoneName, ...] = ()
+    voters: tuple[Node, ...] = ()
+    learners: tuple[Node, ...] = ()
+
+
+Handler = Callable[["DiscoveryTask", Any, Instant], None]
+
+HANDLERS: Registry[type[Any], Handler] = Registry("handlers of discovery messages")
+
+
+class DiscoveryTask(Task):
+    """Own the tables of instances and gateways of one control process."""
+
+    def __init__(self, vm: VmName, broadcast: Callable[[Any], None]) -> None:
+        super().__init__("discovery", 16_384)
+        self.vm = vm
+        self.broadcast = broadcast
+        self.run_id = uuid.uuid4().hex[:12]
+        self.started = monotonic()
+        self.instances = InstanceTable()
+        self.gateways = GatewayTable()
+        self.adopted = Adopted()
+        self.contacts: dict[VmName, Instant] = {}
+        self.unconfirmed: list[Unconfirmed] = []
+        self.heard: list[Heard] = []
+        self.named: tuple[Gateway, ...] = ()
+        """Gateways that look-ups may name; replaced whole, read by any thread."""
+        self._gossip_due = Instant(0.0)
+        self._expire_due = Instant(0.0)
+
+    def next_wait(self, now: Instant) -> float:
+        """Block until gossip is due or a confirmation is overdue."""
+        due = [self._gossip_due, self._expire_due]
+        due += [item.deadline for item in self.unconfirmed]
+        return min(due) - now
+
+    def handle(self, batch: list[Any], now: Instant) -> None:
+        """Handle messages, then do what is due."""
+        for message in batch:
+            inner = message.message if isinstance(message, Received) else message
+            if type(inner) in HANDLERS:
+                HANDLERS.get(type(inner))(self, message, now)
+        self.settle(now)
+        if now >= self._expire_due:
+            self._expire_due = Instant(now + EXPIRE_EVERY)
+            self.spread(self.instances.expire(now), now)
+            self.gateways.forget_silent(now)
+        if now >= self._gossip_due:
+            self._gossip_due = Instant(now + GOSSIP_EVERY)
+            self.broadcast(Gossip(self.vm, tuple(self.heard)))
+            self.heard.clear()
+        self._name_gateways(now)
+
+    def in_contact(self, now: Instant) -> bool:
+        """Say whether a majority of the voters has lately been heard here."""
+        voters = {node.vm for node in self.adopted.voters}
+        heard = {vm for vm, at in self.contacts.items() if now < at + CONTACT}
+        return len(voters & (heard | {self.vm})) > len(voters) / 2
+
+    def spread(self, changes: list[Change], now: Instant) -> list[MemberId]:
+        """Push changes to all live gateways and return who they are."""
+        live = self.gateways.live(now)
+        for change in changes:
+            event = INSTANCE_GONE if change.gone else INSTANCE_CHANGED
+            said = change.instance
+            emit(
+                event,
+                instance=said.instance,
+                service=said.service,
+                state=said.state,
+                sequence=said.sequence,
+                gateways=len(live),
+            )
+            for item in live:
+                item.push(InstanceChanged(said, change.gone))
+        return [item.gateway.gateway for item in live]
+
+    def settle(self, now: Instant) -> None:
+        """Answer reports that all have confirmed, or that waited too long."""
+        live = {item.gateway.gateway for item in self.gateways.live(now)}
+        for item in list(self.unconfirmed):
+            item.waiting &= live
+            if item.waiting and now < item.deadline:
+                continue
+            self.unconfirmed.remove(item)
+            if item.waiting:
+                emit(REPORT_UNCONFIRMED, waiting=",".join(sorted(item.waiting)))
+            item.reply(not item.waiting)
+
+    def _name_gateways(self, now: Instant) -> None:
+        live = self.gateways.live(now, NAMED)
+        named = tuple(item.gateway for item in live)
+        if named == self.named:
+            return
+        for item in set(self.named) - set(named):
+            emit(GATEWAY_SILENT, gateway=item.gateway, state=item.state)
+        for item in set(named) - set(self.named):
+            emit(GATEWAY_HEARD, gateway=item.gateway, state=item.state)
+        self.named = named
+
+
+@HANDLERS.register(Report)
+def take_report(task: DiscoveryTask, report: Report, now: Instant) -> None:
+    """Take a report from a backend server itself."""
+    if not task.in_contact(now):
+        emit(REPORT_UNCONFIRMED, instance=report.instance.instance, waiting="quorum")
+        report.reply(False)
+        return
+    judged = task.instances.report(report.instance, report.gone, now)
+    if judged.verdict is ReportVerdict.STALE:
+        emit(REPORT_STALE, instance=report.instance.instance)
+    else:
+        task.heard.append(Heard(report.instance, report.gone))
+    waiting = task.spread(list(judged.changes), now)
+    leaving = is_leaving(Change(report.instance, report.gone))
+    if not leaving or judged.verdict is ReportVerdict.STALE:
+        report.reply(True)
+        return
+    if not judged.changes:
+        waiting = task.spread([Change(report.instance, report.gone)], now)
+    deadline = Instant(now + CONFIRM_LIMIT)
+    task.unconfirmed.append(Unconfirmed(set(waiting), deadline, report.reply))
+
+
+@HANDLERS.register(InstanceSeen)
+def take_seen(task: DiscoveryTask, req: Received, now: Instant) -> None:
+    """Note that a gateway holds all that was pushed to it before."""
+    for item in task.unconfirmed:
+        item.waiting.discard(req.message.gateway)
+
+
+@HANDLERS.register(Gossip)
+def take_gossip(task: DiscoveryTask, req: Received, now: Instant) -> None:
+    """Take the reports that another control process heard and has pushed."""
+    task.contacts[req.message.sender] = now
+    for item in req.message.heard:
+        task.instances.report(item.instance, item.gone, now)
+
+
+@HANDLERS.register(Adopted)
+def take_adopted(task: DiscoveryTask, adopted: Adopted, now: Instant) -> None:
+    """Tell the gateways that the log holds something newer."""
+    before, task.adopted = task.adopted, adopted
+    newer = (adopted.routing_version, adopted.evacuation_index)
+    if newer == (before.routing_version, before.evacuation_index):
+        return
+    for item in task.gateways.live(now):
+        item.push(RoutingChanged(*newer))
+
+
+@HANDLERS.register(SyncRequest)
+def answer_sync(task: DiscoveryTask, req: Received, now: Instant) -> None:
+    """Bring a gateway up to date."""
+    sync: SyncRequest = req.message
+    task.gateways.hear(sync.gateway, req.reply, now)
+    adopted = task.adopted
+    newer_routing = adopted.routing_version > sync.routing_version
+    newer_zones = adopted.evacuation_index > sync.evacuation_index
+    known = sync.source == task.run_id and sync.revision >= task.instances.forgotten
+    since = sync.revision if known else 0
+    changes = list(task.instances.changes_since(since, now))
+    if not sync.wants_changes:
+        changes = []
+    ready = now > task.started + SETTLED and task.in_contact(now)
+    req.reply(
+        SyncAnswer(
+            task.run_id,
+            task.instances.revision,
+            not known and ready and sync.wants_changes,
+            tuple(item.instance for item in changes if not item.gone),
+            tuple(item.instance.instance for item in changes if item.gone),
+            adopted.routing_version,
+            adopted.routing if newer_routing else b"",
+            adopted.evacuation_index,
+            adopted.evacuated if newer_zones else (),
+            (*adopted.voters, *adopted.learners),
+            len(task.gateways.live(now)),
+            ready,
+        )
+    )
--- a/src/snipecart/control/disk/records.py
+++ b/src/snipecart/control/disk/records.py
@@ -82,6 +82,13 @@
     return FoundRecord(framed.ok.message, start + length) if framed.is_ok() else None
 
 
+def write_whole(stream: BinaryIO, data: bytes) -> None:
+    """Write all bytes to an unbuffered file; raise OSError where it takes fewer."""
+    written = stream.write(data)
+    if written != len(data):
+        raise OSError(f"wrote {written} of {len(data)} bytes")
+
+
 def sync_file(stream: BinaryIO) -> None:
     """Put a file's written bytes on the disk."""
     stream.flush()
--- a/src/snipecart/control/disk/store.py
+++ b/src/snipecart/control/disk/store.py
@@ -5,6 +5,7 @@
 import fcntl
 import uuid
 from contextlib import contextmanager
+from contextlib import suppress
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -32,6 +33,7 @@
 from .records import replace_file
 from .records import sync_file
 from .records import sync_folder
+from .records import write_whole
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -89,6 +91,12 @@
     replace_file(folder / IDENTITY, founder_id(vm).encode())
 
 
+def found_if_blank(path: Path, vm: VmName, founders: tuple[Node, ...]) -> None:
+    """Write the first entry of a new log, unless the folder holds one."""
+    with data_folder(path) as folder, suppress(AlreadyFounded):
+        found(folder, vm, founders)
+
+
 def read_identity(folder: Path, vm: VmName) -> NodeId:
     """Return the disk's id; a blank disk gets a new one."""
     path = folder / IDENTITY
@@ -137,23 +145,31 @@
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
-        self._stream = (folder / LOG).open("ab")
+        self._stream = (folder / LOG).open("ab", buffering=0)
+        self._unwritten = bytearray()
         sync_folder(folder)
 
     def write(self, batch: DiskBatch) -> None:
         """Write a batch, durable only after the next sync."""
-        self._stream.write(frame_record(batch))
+        self._unwritten += frame_record(batch)
 
     def sync(self) -> None:
-        """Make all written batches durable."""
+        """Make all written batches durable.
+
+        They go out in one write, so that a torn one leaves no gap before a whole one.
+        """
+        if self._unwritten:
+            write_whole(self._stream, bytes(self._unwritten))
+            self._unwritten.clear()
         sync_file(self._stream)
 
     def replace(self, snapshot: DiskSnapshot, rest: DiskBatch) -> None:
         """Make a snapshot durable, then rewrite the log that follows it."""
         replace_file(self._folder / SNAPSHOT, frame_record(snapshot))
         self._stream.close()
+        self._unwritten.clear()
         replace_file(self._folder / LOG, frame_record(rest))
-        self._stream = (self._folder / LOG).open("ab")
+        self._stream = (self._folder / LOG).open("ab", buffering=0)
 
     def close(self) -> None:
         """Sync and close the log file."""
--- a/src/snipecart/control/effects.py
+++ b/src/snipecart/control/effects.py
@@ -86,5 +86,6 @@
 def run_voters_changed(node: NodeTask, effect: VotersChanged, now: Instant) -> None:
     """Keep links to all who are in the log."""
     node.outlets.relink((*effect.voters, *effect.learners))
+    node.publish()
     voters = ",".join(voter.node for voter in effect.voters)
     emit(VOTERS_CHANGED, voters=voters, learners=len(effect.learners))
--- a/src/snipecart/control/factory.py
+++ b/src/snipecart/control/factory.py
@@ -4,6 +4,8 @@
 
 import uuid
 from contextlib import contextmanager
+from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
 from typing import Any
@@ -15,12 +17,16 @@
 from ..core.ids import NodeId
 from ..core.ids import VmName
 from ..core.task import monotonic
+from ..core.task import running
 from ..messages.commands import Node
 from ..program.web import HttpListener
 from ..program.web import serving
 from ..wire.codec import Framed
 from ..wire.links import Link
 from ..wire.links import Listener
+from ..wire.links import Received
+from .discovery.task import HANDLERS as DISCOVERY_HANDLERS
+from .discovery.task import DiscoveryTask
 from .disk.store import Recovered
 from .disk.store import Store
 from .disk.store import data_folder
@@ -98,6 +104,8 @@
         self._cfg = cfg
         self._links: dict[VmName, Link] = {}
         self._nodes: dict[VmName, Node] = {}
+        self.sink: Callable[[Framed], Any] = _ignore
+        """Takes answers; peers otherwise talk over links of their own."""
 
     def relink(self, nodes: tuple[Node, ...]) -> None:
         """Open links to the VMs of the settings and of the log's members."""
@@ -128,13 +136,16 @@
     def _open(self, vm: VmName, node: Node) -> None:
         if vm in self._links:
             self._links[vm].stop(0.0)
-        link = Link(vm, node.host, node.port, self._cfg.host, _ignore)
+        link = Link(vm, node.host, node.port, self._cfg.host, self._take)
         link.start()
         self._links[vm], self._nodes[vm] = link, node
 
+    def _take(self, framed: Framed) -> None:
+        self.sink(framed)
+
 
 def _ignore(framed: Framed) -> None:
-    """Drop answers: peers talk over links of their own."""
+    """Drop an answer."""
 
 
 def make_node(
@@ -142,16 +153,33 @@
     recovered: Recovered,
     links: Links,
     persist: Callable[[Any], bool],
+    discovery: DiscoveryTask,
 ) -> NodeTask:
     """Return the node task."""
     state = make_state(recovered, uuid.uuid4().int)
     machine = load_state(state.snapshot.state) if state.snapshot else MachineState()
-    me = Node(recovered.node, cfg.vm, cfg.host, cfg.peer_port)
-    return NodeTask(state, machine, me, Outlets(links.send, persist, links.relink))
+    state.open_to_vms = cfg.open_to_vms
+    me = Node(recovered.node, cfg.vm, cfg.host, cfg.peer_port, not cfg.founding)
+    outlets = Outlets(links.send, persist, links.relink, discovery.post)
+    return NodeTask(state, machine, me, outlets)
+
+
+@dataclass(frozen=True)
+class ControlTasks:
+    """Hold the tasks of a control process that others talk to."""
+
+    node: NodeTask
+    discovery: DiscoveryTask
+
+    def post(self, received: Received) -> bool:
+        """Hand a peer's message to the task that handles it."""
+        if type(received.message) in DISCOVERY_HANDLERS:
+            return self.discovery.post(received)
+        return self.node.post(received)
 
 
 @contextmanager
-def control_tasks(cfg: ControlSettings) -> Iterator[Result[NodeTask, Failure]]:
+def control_tasks(cfg: ControlSettings) -> Iterator[Result[ControlTasks, Failure]]:
     """Own the data folder and the tasks of a control process."""
     with data_folder(cfg.data) as folder:
         recovered = recover(folder, cfg.vm)
@@ -164,29 +192,30 @@
             send=lambda effect: links.send(effect.to, effect.message),
             report=lambda synced: node.mailbox.post_waiting(synced),
         )
-        node = make_node(cfg, recovered.ok, links, disk.post)
+        discovery = DiscoveryTask(cfg.vm, partial(links.send, EVERYONE))
+        node = make_node(cfg, recovered.ok, links, disk.post, discovery)
+        tasks = ControlTasks(node, discovery)
+        links.sink = lambda framed: tasks.post(Received(framed.message, _ignore))
         links.relink(tuple(node.state.peers))
-        listener = Listener(cfg.host, cfg.peer_port, node.post)
-        disk.start()
-        node.start()
-        listener.start()
-        try:
-            yield Ok(node)
-        finally:
-            listener.stop()
-            node.stop()
-            disk.stop()
-            links.close()
+        node.publish()
+        listener = Listener(cfg.host, cfg.peer_port, tasks.post)
+        with running(disk, discovery, node):
+            listener.start()
+            try:
+                yield Ok(tasks)
+            finally:
+                listener.stop()
+                links.close()
 
 
 @contextmanager
-def control_program(cfg: ControlSettings) -> Iterator[Result[NodeTask, Failure]]:
+def control_program(cfg: ControlSettings) -> Iterator[Result[ControlTasks, Failure]]:
     """Run a control process until the block ends."""
     web = {peer.vm: f"{peer.host}:{peer.http_port}" for peer in cfg.peers}
-    with control_tasks(cfg) as node:
-        if node.is_error():
-            yield node
+    with control_tasks(cfg) as tasks:
+        if tasks.is_error():
+            yield tasks
             return
-        pages = ControlPages(node.ok, web)
+        pages = ControlPages(tasks.ok.node, web)
         with serving([HttpListener(cfg.host, cfg.http_port, HTTP_THREADS)], {}, pages):
-            yield node
+            yield tasks
--- a/src/snipecart/control/machine/__init__.py
+++ b/src/snipecart/control/machine/__init__.py
@@ -4,5 +4,6 @@
 
 from . import claims
 from . import register
+from . import routing
 
-__all__ = ["claims", "register"]
+__all__ = ["claims", "register", "routing"]
--- /dev/null
+++ b/src/snipecart/control/machine/routing.py
@@ -0,0 +1,61 @@
+"""Keep the routing table of the highest version, and which zones are evacuated."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from ...core.states import RoutingVerdict
+from ...messages.commands import Entry
+from ...messages.commands import EvacuationAnswer
+from ...messages.commands import PutRouting
+from ...messages.commands import RoutingAnswer
+from ...messages.commands import SetEvacuation
+from .state import APPLIERS
+from .state import MachineState
+
+
+@APPLIERS.register(PutRouting)
+def apply_put(state: MachineState, command: PutRouting, entry: Entry) -> RoutingAnswer:
+    """Take a higher version; an older one changes nothing.
+
+    The version held is refused with other content, and confirmed with the same.
+    """
+    held = state.routing_version
+    if command.version > held or not state.routing:
+        state.routing_version = command.version
+        state.routing = command.routing
+        state.routing_source = command.source
+        return RoutingAnswer(RoutingVerdict.ACCEPTED, command.version)
+    if command.version < held:
+        return RoutingAnswer(RoutingVerdict.SUPERSEDED, held)
+    if same_document(command.source, state.routing_source):
+        return RoutingAnswer(RoutingVerdict.ACCEPTED, held)
+    return RoutingAnswer(RoutingVerdict.VERSION_REUSED, held)
+
+
+def same_document(one: bytes, other: bytes) -> bool:
+    """Say whether two documents hold the same JSON."""
+    return one == other or _parsed(one) == _parsed(other)
+
+
+def _parsed(document: bytes) -> Any:
+    try:
+        return json.loads(document)
+    except ValueError:
+        return document
+
+
+@APPLIERS.register(SetEvacuation)
+def apply_evacuation(
+    state: MachineState, command: SetEvacuation, entry: Entry
+) -> EvacuationAnswer:
+    """Add a zone to the evacuated ones, or take it out."""
+    changed = command.evacuated != (command.zone in state.evacuated)
+    if changed and command.evacuated:
+        state.evacuated = [*state.evacuated, command.zone]
+    elif changed:
+        state.evacuated = [zone for zone in state.evacuated if zone != command.zone]
+    if changed:
+        state.evacuation_index = entry.index
+    return EvacuationAnswer(state.evacuation_index)
--- a/src/snipecart/control/machine/state.py
+++ b/src/snipecart/control/machine/state.py
@@ -11,10 +11,13 @@
 
 from ...core.ids import AttemptId
 from ...core.ids import Digest
+from ...core.ids import LogIndex
 from ...core.ids import RequestKey
+from ...core.ids import RoutingVersion
 from ...core.ids import SubmissionId
 from ...core.ids import TextVersion
 from ...core.ids import UnixMillis
+from ...core.ids import ZoneName
 from ...core.message import record
 from ...core.registry import Registry
 from ...core.states import ClaimState
@@ -63,7 +66,7 @@
 
 @dataclass(config={"ser_json_bytes": "base64", "val_json_bytes": "base64"})
 class MachineState:
-    """Hold the accepted text, the submissions and the claims."""
+    """Hold the accepted texts, the submissions, the claims and the evacuations."""
 
     now: UnixMillis = UnixMillis(0)
     version: TextVersion = TextVersion(0)
@@ -72,6 +75,12 @@
     claims: dict[str, Claim] = Field(default_factory=dict)
     buckets: dict[int, list[str]] = Field(default_factory=dict)
     """Claims by the minute their keys were issued."""
+    routing_version: RoutingVersion = RoutingVersion(0)
+    routing: bytes = b""
+    routing_source: bytes = b""
+    evacuation_index: LogIndex = LogIndex(0)
+    """Entry that last changed the evacuated zones."""
+    evacuated: list[ZoneName] = Field(default_factory=list)
 
 
 Applier = Callable[[MachineState, Any, Entry], Any]
--- a/src/snipecart/control/node.py
+++ b/src/snipecart/control/node.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from ..core.events import EVACUATION_ADOPTED
+from ..core.events import ROUTING_ADOPTED
 from ..core.events import SNAPSHOT_TAKEN
 from ..core.events import TEXT_ACCEPTED
 from ..core.events import emit
@@ -23,11 +25,13 @@
 from ..text.parse import parse_text
 from ..wire.links import Received
 from . import raft
+from .discovery.task import Adopted
 from .effects import EFFECTS
 from .lead import AcceptedText
 from .lead import Lead
 from .machine.state import MachineState
 from .machine.state import dump_state
+from .raft import timing
 from .raft.state import HANDLERS
 from .raft.state import Compact
 from .raft.state import Flush
@@ -67,6 +71,8 @@
     send: Callable[[NodeId, Any], Any]
     persist: Callable[[Any], bool]
     relink: Callable[[tuple[Node, ...]], Any]
+    publish: Callable[[Adopted], Any] = lambda adopted: None
+    """Told whenever the log holds other routing, evacuations or members."""
 
 
 class DiskBehind(Exception):
@@ -86,6 +92,7 @@
         self.outlets = outlets
         self.lead: Lead | None = None
         self.accepted = AcceptedText(machine.version, _parsed(machine.text))
+        self.adopted = Adopted()
         self.open: dict[LogIndex, Callable[[Any], None]] = {}
         self._tick_due = Instant(0.0)
         self._join_due = Instant(0.0)
@@ -143,6 +150,28 @@
             parsed = _parsed(self.machine.text)
             self.accepted = AcceptedText(self.machine.version, parsed)
             emit(TEXT_ACCEPTED, version=self.machine.version)
+        self.publish()
+
+    def publish(self) -> None:
+        """Tell what the log holds, if it has changed."""
+        machine, before = self.machine, self.adopted
+        adopted = Adopted(
+            machine.routing_version,
+            machine.routing,
+            machine.evacuation_index,
+            tuple(machine.evacuated),
+            self.state.voters,
+            self.state.learners,
+        )
+        if adopted == before:
+            return
+        self.adopted = adopted
+        self.outlets.publish(adopted)
+        if adopted.routing_version != before.routing_version:
+            emit(ROUTING_ADOPTED, version=adopted.routing_version)
+        if adopted.evacuation_index != before.evacuation_index:
+            zones = ",".join(adopted.evacuated)
+            emit(EVACUATION_ADOPTED, index=adopted.evacuation_index, zones=zones)
 
     def drop_open(self, failure: Failure) -> None:
         """Refuse all proposals that wait."""
@@ -152,7 +181,10 @@
 
     def _seek_to_join(self, now: Instant) -> None:
         known = {node.node for node in (*self.state.voters, *self.state.learners)}
-        if self.me.node in known or now < self._join_due:
+        unheard = now > self.state.heard_leader + timing.UNHEARD
+        lost = unheard and self.state.open_to_vms
+        belongs = self.me.node in known and not lost
+        if belongs or self.state.role is Role.LEADER or now < self._join_due:
             return
         self._join_due = Instant(now + JOIN_EVERY)
         self.outlets.send(EVERYONE, JoinRequest(self.me))
--- a/src/snipecart/control/raft/membership.py
+++ b/src/snipecart/control/raft/membership.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from ...core.ids import Instant
 from ...core.ids import LogIndex
 from ...core.ids import UnixMillis
@@ -15,19 +17,20 @@
 from .state import Progress
 from .state import Propose
 from .state import RaftState
+from .state import Send
 from .state import step
 
 
 @HANDLERS.register(JoinRequest)
 def handle_join(state: RaftState, req: JoinRequest, now: Instant) -> list[Effect]:
-    """Teach a blank process the log in place of a silent voter of its VM."""
-    joiner = req.joiner
+    """Teach a blank process the log, if its VM may hold a part of it."""
+    if state.role is not Role.LEADER:
+        return _hand_on(state, req)
     known = {node.node for node in (*state.voters, *state.learners)}
-    if not _may_change(state) or joiner.node in known:
-        return []
-    if not any(node.vm == joiner.vm for node in state.voters):
+    if not _may_change(state) or req.joiner.node in known:
         return []
-    if any(_is_recent(state, node, now) for node in _others_of_vm(state, joiner)):
+    joiner = _admit(state, req.joiner, now)
+    if joiner is None:
         return []
     learners = tuple(node for node in state.learners if node.vm != joiner.vm)
     state.progress[joiner.node] = Progress(
@@ -36,6 +39,22 @@
     return _change(state, state.voters, (*learners, joiner), now)
 
 
+def _hand_on(state: RaftState, req: JoinRequest) -> list[Effect]:
+    if req.forwarded or not state.leader or state.leader == state.me:
+        return []
+    return [Send(state.leader, replace(req, forwarded=True))]
+
+
+def _admit(state: RaftState, joiner: Node, now: Instant) -> Node | None:
+    """Return the joiner as it may join: in place of its VM's voter, or beside all."""
+    before = [node for node in state.voters if node.vm == joiner.vm]
+    if not before:
+        return joiner if state.open_to_vms else None
+    if any(_is_recent(state, node, now) for node in _others_of_vm(state, joiner)):
+        return None
+    return replace(joiner, added=before[0].added)
+
+
 def _may_change(state: RaftState) -> bool:
     """Allow a change only after the last one and an own entry are committed."""
     settled = bool(state.members) and state.members[-1].index <= state.commit
@@ -51,11 +70,16 @@
 
 
 def _is_recent(state: RaftState, node: Node, now: Instant) -> bool:
+    return _silence(state, node, now) < timing.RECENT
+
+
+def _silence(state: RaftState, node: Node, now: Instant) -> float:
+    """Return for how many seconds a voter has not answered this leader."""
     if node.node == state.me:
-        return True
+        return 0.0
     peer = state.progress.get(node.node)
     confirmed = max(peer.confirmed if peer else -1.0, state.lead_began)
-    return now < confirmed + timing.RECENT
+    return now - confirmed
 
 
 def _change(
@@ -78,6 +102,9 @@
         if gone:
             voters = tuple(other for other in state.voters if other != gone[0])
             return _change(state, voters, state.learners, now)
+    crowded = _make_room(state, now)
+    if crowded is not None:
+        return _change(state, crowded, state.learners, now)
     for learner in state.learners:
         if _has_caught_up(state, learner, now):
             learners = tuple(other for other in state.learners if other != learner)
@@ -85,6 +112,24 @@
     return []
 
 
+def _make_room(state: RaftState, now: Instant) -> tuple[Node, ...] | None:
+    """Return the voters without a long silent one, if a VM was added for it."""
+    added = [node for node in state.voters if node.added]
+    silent = [node for node in state.voters if _is_silent(state, node, now)]
+    newcomers = [node for node in added if node not in silent]
+    if not silent or not newcomers:
+        return None
+    kept = tuple(node for node in state.voters if node != silent[0])
+    if silent[0].added:
+        return kept
+    settled = replace(newcomers[0], added=False)
+    return tuple(settled if node == newcomers[0] else node for node in kept)
+
+
+def _is_silent(state: RaftState, node: Node, now: Instant) -> bool:
+    return _silence(state, node, now) > timing.SILENT
+
+
 def _has_caught_up(state: RaftState, node: Node, now: Instant) -> bool:
     peer = state.progress.get(node.node)
     if peer is None or now > peer.confirmed + timing.ELECTION_MIN:
--- a/src/snipecart/control/raft/state.py
+++ b/src/snipecart/control/raft/state.py
@@ -172,6 +172,8 @@
     progress: dict[NodeId, Progress] = field(default_factory=dict)
     lead_began: Instant = Instant(0.0)
     lead_index: LogIndex = LogIndex(0)
+    open_to_vms: bool = False
+    """Whether control processes on VMs that the log never named may join."""
 
     @property
     def voters(self) -> tuple[Node, ...]:
--- a/src/snipecart/control/raft/timing.py
+++ b/src/snipecart/control/raft/timing.py
@@ -21,3 +21,9 @@
 
 RECENT = 3.0
 """A voter that answered this lately can't be replaced."""
+
+SILENT = 15.0
+"""A voter silent for this long makes room for one on another VM."""
+
+UNHEARD = 3.0
+"""A process that heard no leader for this long asks whether it still belongs."""
--- a/src/snipecart/core/failures.py
+++ b/src/snipecart/core/failures.py
@@ -59,6 +59,48 @@
     category = Category.NOT_FOUND
 
 
+class NoRoute(Failure):
+    """Refuse a request that no route of the routing table takes."""
+
+    category = Category.NOT_FOUND
+
+
+class NoRouting(Failure):
+    """Refuse a request before any routing table is in force here."""
+
+    category = Category.UNAVAILABLE
+
+
+class ServerSaturated(Failure):
+    """Refuse at once a request that no backend server could answer in time."""
+
+    category = Category.UNAVAILABLE
+
+
+class ClientGone(Failure):
+    """Drop a request whose client has left."""
+
+    category = Category.UPSTREAM
+
+
+class AttemptsSpent(Failure):
+    """Refuse a request that every backend server tried has rejected."""
+
+    category = Category.UNAVAILABLE
+
+
+class NotAcknowledged(Failure):
+    """Refuse a report whose news has not reached every gateway in touch."""
+
+    category = Category.UNAVAILABLE
+
+
+class VersionReused(Failure):
+    """Refuse a routing table whose version is held with other content."""
+
+    category = Category.CONFLICT
+
+
 class WrongListener(Failure):
     """Refuse a call that came to another rank's listener."""
 
--- a/src/snipecart/core/ids.py
+++ b/src/snipecart/core/ids.py
@@ -24,6 +24,21 @@
 EndpointId = NewType("EndpointId", str)
 """A backend server's address and port, ``127.0.0.1:8080``."""
 
+InstanceId = NewType("InstanceId", str)
+"""One run of a backend server, as it names itself."""
+
+RouteName = NewType("RouteName", str)
+HostName = NewType("HostName", str)
+
+RequestId = NewType("RequestId", str)
+"""One send of a request by its client; a resend has another."""
+
+ObjectKey = NewType("ObjectKey", str)
+"""What a request is about; a backend server that knows it answers faster."""
+
+RoutingVersion = NewType("RoutingVersion", int)
+"""The operators' own number of a routing table; 0 before the first."""
+
 CallerName = NewType("CallerName", str)
 RequestKey = NewType("RequestKey", str)
 """The caller's idempotency key: ``<issued, Unix ms>-<opaque>``."""
--- a/src/snipecart/core/states.py
+++ b/src/snipecart/core/states.py
@@ -56,6 +56,26 @@
     SUBMISSION_REUSED = "submission_reused"
 
 
+class RoutingVerdict(StrEnum):
+    """Answer an offered routing table."""
+
+    ACCEPTED = "accepted"
+    SUPERSEDED = "superseded"
+    VERSION_REUSED = "version_reused"
+
+
+class SendEnd(StrEnum):
+    """Say how one send of a routed request to a backend server ended."""
+
+    ANSWERED = "answered"
+    NOT_SENT = "not_sent"
+    REJECTED = "rejected"
+    MISDIRECTED = "misdirected"
+    BROKEN = "broken"
+    TIMED_OUT = "timed_out"
+    CANCELLED = "cancelled"
+
+
 class Outcome(StrEnum):
     """Tell a caller what became of a call."""
 
@@ -82,6 +102,7 @@
 class MemberState(StrEnum):
     """Follow an entry process."""
 
+    STARTING = "starting"
     SERVING = "serving"
     LEAVING = "leaving"
 
--- a/src/snipecart/core/task.py
+++ b/src/snipecart/core/task.py
@@ -128,8 +128,8 @@
 
 
 def monotonic() -> Instant:
-    """Read the monotonic clock in seconds."""
-    return Instant(time.monotonic())
+    """Read the steady clock in seconds, which counts a suspended machine's time too."""
+    return Instant(time.clock_gettime(time.CLOCK_BOOTTIME))
 
 
 @contextmanager
--- /dev/null
+++ b/src/snipecart/gateway/factory.py
@@ -0,0 +1,99 @@
+"""Assemble an entry process that takes routed requests."""
+
+from __future__ import annotations
+
+import threading
+import uuid
+from contextlib import contextmanager
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING
+
+from ..core.ids import EndpointId
+from ..core.ids import MemberId
+from ..core.states import MemberState
+from ..core.task import monotonic
+from ..core.task import running
+from ..messages.discovery import Gateway
+from ..program.web import HttpListener
+from .backends import BackendConnections
+from .pipeline import GatewayContext
+from .pipeline import make_pipeline
+from .placing.budget import BudgetRule
+from .placing.state import Here
+from .placing.state import PlacingState
+from .placing.task import PlacingTask
+from .server import GatewaySource
+from .server import serving_requests
+from .sync import SetLeaving
+from .sync import SyncTask
+from .watch import WatchTask
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from cheroot.server import HTTPServer
+
+    from ..program.settings import GatewaySettings
+    from .request import HeaderNames
+
+DRAIN_LOOK = 0.1
+"""Seconds between two looks whether all requests have ended."""
+
+
+@dataclass(frozen=True)
+class GatewayTasks:
+    """Hold the tasks of a gateway."""
+
+    placing: PlacingTask
+    sync: SyncTask
+    watch: WatchTask
+
+
+def make_gateway(cfg: GatewaySettings) -> Gateway:
+    """Return this run of the process as control processes know it."""
+    return Gateway(
+        MemberId(f"{cfg.vm}/{uuid.uuid4().hex[:12]}"),
+        cfg.vm,
+        cfg.region,
+        cfg.zone,
+        EndpointId(f"{cfg.host}:{cfg.port}"),
+        MemberState.STARTING,
+    )
+
+
+def make_placing_state(cfg: GatewaySettings) -> PlacingState:
+    """Return the placing state at start."""
+    rule = BudgetRule(cfg.retries.ratio, cfg.retries.window_s, cfg.retries.slack)
+    here = Here(cfg.region, cfg.zone, cfg.regions)
+    return PlacingState(here, cfg.admission, rule)
+
+
+@contextmanager
+def gateway_program(cfg: GatewaySettings, names: HeaderNames) -> Iterator[GatewayTasks]:
+    """Run a gateway until the block ends, then drain it."""
+    backends = BackendConnections(cfg.host, names)
+    placing = PlacingTask(make_placing_state(cfg), backends.forget)
+    sync = SyncTask(make_gateway(cfg), cfg.control, cfg.host, placing)
+    watch = WatchTask()
+    ctx = GatewayContext(placing, backends, Random())
+    source = GatewaySource(make_pipeline(ctx), names, watch, placing)
+    listener = HttpListener(cfg.host, cfg.port, cfg.threads)
+    with running(placing, watch, sync), serving_requests(listener, source) as server:
+        yield GatewayTasks(placing, sync, watch)
+        source.draining = True
+        sync.post(SetLeaving())
+        drain(server, cfg.linger_s, cfg.stop_s)
+    backends.close()
+
+
+def drain(server: HTTPServer, linger: float, limit: float) -> None:
+    """Take requests until clients have moved on, then let the last ones end."""
+    began = monotonic()
+    pause = threading.Event()
+    pause.wait(linger)
+    while monotonic() < began + limit:
+        pool = server.requests
+        if pool.idle >= len(pool._threads) and not pool.qsize:
+            return
+        pause.wait(DRAIN_LOOK)
--- /dev/null
+++ b/src/snipecart/gateway/headers.py
@@ -0,0 +1,37 @@
+"""Tell headers of one connection from those that go on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+Pairs = tuple[tuple[str, str], ...]
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    }
+)
+"""Headers that concern one connection, or the framing of one message."""
+
+
+def end_to_end(headers: Iterable[tuple[str, str]]) -> Pairs:
+    """Return the headers that go on to the other side."""
+    pairs = tuple(headers)
+    dropped = set(HOP_BY_HOP)
+    for name, value in pairs:
+        if name.lower() == "connection":
+            dropped |= {part.strip().lower() for part in value.split(",")}
+    return tuple(pair for pair in pairs if pair[0].lower() not in dropped)
--- /dev/null
+++ b/src/snipecart/gateway/metrics.py
@@ -0,0 +1,35 @@
+"""Count what gateways do."""
+
+from __future__ import annotations
+
+from prometheus_client import Counter
+from prometheus_client import Gauge
+from prometheus_client import Histogram
+
+REQUESTS = Counter(
+    "snipecart_gateway_requests", "Requests taken, by how they ended", ["route", "end"]
+)
+REFUSALS = Counter(
+    "snipecart_gateway_refusals", "Requests refused or failed, by reason", ["reason"]
+)
+RETRIES = Counter(
+    "snipecart_gateway_retries", "Requests sent again, by reason", ["reason"]
+)
+SENDS = Counter(
+    "snipecart_gateway_sends", "Sends to backend servers, by how they ended", ["end"]
+)
+CONNECTIONS = Counter(
+    "snipecart_gateway_connections", "Connections opened to backend servers"
+)
+REQUEST_SECONDS = Histogram(
+    "snipecart_gateway_request_seconds",
+    "Time from taking a request to its answer",
+    ["rank"],
+    buckets=(0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 1.5, 2, 3, 5),
+)
+ROUTING_VERSION = Gauge(
+    "snipecart_gateway_routing_version", "Version of the routing table in force here"
+)
+EVENTS_DROPPED = Counter(
+    "snipecart_log_lines_dropped", "Log lines left out to bound their volume"
+)
--- /dev/null
+++ b/src/snipecart/gateway/placing/routes.py
@@ -0,0 +1,77 @@
+"""Find the route of a request, and divide a route's requests over services."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ...core.ids import RouteName
+    from ...core.ids import ServiceName
+    from ...text.routing import Route
+    from ...text.routing import RoutedService
+    from ...text.routing import Routing
+
+
+class RouteIndex:
+    """Look routes up by host and longest prefix."""
+
+    def __init__(self, routing: Routing) -> None:
+        self.routing = routing
+        self._by_host: dict[str, dict[str, Route]] = {}
+        self.services: dict[ServiceName, RoutedService] = {
+            service.name: service for service in routing.services
+        }
+        for route in routing.routes:
+            self._by_host.setdefault(route.host.lower(), {})[route.prefix] = route
+
+    def find(self, host: str, target: str) -> Route | None:
+        """Return the route of a request, or None."""
+        routes = self._by_host.get(_bare_host(host))
+        if routes is None:
+            return None
+        path = target.partition("?")[0]
+        while path:
+            path = path[: path.rfind("/") + 1]
+            route = routes.get(path)
+            if route is not None:
+                return route
+            path = path[:-1]
+        return None
+
+
+def _bare_host(host: str) -> str:
+    name, colon, port = host.rpartition(":")
+    return (name if colon and port.isdecimal() else host).lower()
+
+
+@dataclass
+class Division:
+    """Divide one route's requests by weight, smoothly."""
+
+    current: dict[ServiceName, float] = field(default_factory=dict)
+
+    def next(self, route: Route) -> ServiceName:
+        """Return the service that is due."""
+        targets = route.targets
+        total = sum(target.weight for target in targets)
+        if len(targets) == 1 or total <= 0:
+            return targets[0].service
+        for target in targets:
+            held = self.current.get(target.service, 0.0)
+            self.current[target.service] = held + target.weight
+        due = max(targets, key=lambda target: self.current[target.service]).service
+        self.current[due] -= total
+        return due
+
+
+class Divisions:
+    """Keep one division for each route of a routing table."""
+
+    def __init__(self) -> None:
+        self._divisions: dict[RouteName, Division] = {}
+
+    def next(self, route: Route) -> ServiceName:
+        """Return the service that a route's next request goes to."""
+        return self._divisions.setdefault(route.name, Division()).next(route)
--- /dev/null
+++ b/src/snipecart/gateway/placing/server.py
@@ -0,0 +1,144 @@
+"""Follow one backend server as this gateway sees it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from ...core.ids import Instant
+from ...core.states import SendEnd
+
+if TYPE_CHECKING:
+    from ...messages.discovery import Instance
+
+REPORT_AGE = 1.5
+"""Seconds until a load report counts for nothing."""
+
+FIRST_EJECTION = 0.8
+"""Seconds without requests after a first failure to connect."""
+
+LONGEST_EJECTION = 6.0
+
+FAILURES_TO_EJECT = 2
+"""Broken or late answers in a row."""
+
+RATE_STEP = 0.15
+"""Weight of the latest answer in the moving averages."""
+
+GREY_RATE = 0.35
+"""Part of failed sends above which a backend server is left alone."""
+
+GREY_EJECTION = 3.0
+"""Seconds for which a backend server that fails in part is left alone."""
+
+SLOW_RATIO = 2.2
+"""Time against its kind's usual time above which a backend server is slow."""
+
+SLOW_MEMORY = 4.0
+"""Seconds after which a slow backend server is tried anew."""
+
+FAILED_ENDS = frozenset({SendEnd.NOT_SENT, SendEnd.BROKEN, SendEnd.TIMED_OUT})
+
+
+@dataclass
+class TokenBucket:
+    """Bound how often a cold backend server is sent to."""
+
+    rate: float
+    burst: float
+    tokens: float
+    at: Instant
+
+    def take(self, now: Instant) -> bool:
+        """Take a token, if there is one."""
+        self.tokens = min(self.burst, self.tokens + (now - self.at) * self.rate)
+        self.at = now
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+@dataclass
+class Server:
+    """Hold what is observed of a backend server."""
+
+    instance: Instance
+    cold_until: Instant
+    sending: int = 0
+    """Requests of this gateway that are there now."""
+    others: float = 0.0
+    """Requests of other gateways at the last report."""
+    reported: Instant = Instant(-1e9)
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: Instant = Instant(0.0)
+    failing: float = 0.0
+    """Moving average of failed sends."""
+    slowness: float = 1.0
+    """Moving average of time against the usual time."""
+    slow_seen: Instant = Instant(-1e9)
+    bucket: TokenBucket | None = None
+    gone: bool = False
+    tried: int = field(default=0)
+
+    @property
+    def slots(self) -> int:
+        """Return how many requests it runs at a time."""
+        return max(1, self.instance.slots)
+
+    def load(self, now: Instant) -> float:
+        """Estimate how many requests are there, whoever sent them."""
+        fresh = max(0.0, 1.0 - (now - self.reported) / REPORT_AGE)
+        return self.sending + self.others * fresh
+
+    def is_ejected(self, now: Instant) -> bool:
+        """Say whether it is left alone for its failures."""
+        return now < self.ejected_until
+
+    def is_slow(self, now: Instant) -> bool:
+        """Say whether it lately took much longer than usual."""
+        return self.slowness > SLOW_RATIO and now < self.slow_seen + SLOW_MEMORY
+
+    def is_cold(self, now: Instant) -> bool:
+        """Say whether it has lately started or restarted."""
+        return now < self.cold_until
+
+    def note_load(self, report: tuple[int, int, int], now: Instant) -> None:
+        """Take a load report that came with an answer."""
+        running, waiting, _ = report
+        self.others = max(0.0, running + waiting - self.sending)
+        self.reported = now
+
+    def note_end(self, end: SendEnd, ratio: float, now: Instant) -> None:
+        """Learn from how a send ended; ``ratio`` is its time against the usual."""
+        if end is SendEnd.CANCELLED:
+            return
+        failed = end in FAILED_ENDS or end is SendEnd.REJECTED
+        self.failing += RATE_STEP * ((1.0 if failed else 0.0) - self.failing)
+        if end is SendEnd.ANSWERED:
+            self.failures = 0
+            self.ejections = 0
+            self._note_time(ratio, now)
+        elif end is SendEnd.REJECTED:
+            self.others = max(self.others, self.slots + 1.0)
+            self.reported = now
+        elif end in FAILED_ENDS:
+            self._note_failure(end, now)
+        if self.failing > GREY_RATE and not self.is_ejected(now):
+            self.failing = GREY_RATE / 2
+            self.ejected_until = Instant(now + GREY_EJECTION)
+
+    def _note_time(self, ratio: float, now: Instant) -> None:
+        self.slowness += RATE_STEP * (ratio - self.slowness)
+        if ratio > SLOW_RATIO:
+            self.slow_seen = now
+
+    def _note_failure(self, end: SendEnd, now: Instant) -> None:
+        self.failures += 1
+        if end is not SendEnd.NOT_SENT and self.failures < FAILURES_TO_EJECT:
+            return
+        span = min(LONGEST_EJECTION, FIRST_EJECTION * 2**self.ejections)
+        self.ejections += 1
+        self.ejected_until = Instant(now + span)
--- /dev/null
+++ b/src/snipecart/gateway/request.py
@@ -0,0 +1,171 @@
+"""Declare what a routed request is at each step of its pipeline."""
+
+from __future__ import annotations
+
+import threading
+from contextlib import suppress
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from ..core.task import monotonic
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..core.failures import Failure
+    from ..core.ids import InstanceId
+    from ..core.ids import Instant
+    from ..core.ids import ObjectKey
+    from ..core.ids import RequestId
+    from ..core.ids import RoutingVersion
+    from ..core.ids import ServiceName
+    from ..core.states import SendEnd
+    from ..text.routing import Route
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True)
+class HeaderNames:
+    """Name the headers that clients and backend servers use."""
+
+    request: str = "Snipecart-Request"
+    object: str = "Snipecart-Object"
+    wait_ms: str = "Snipecart-Deadline-Ms"
+    expected: str = "Snipecart-Instance"
+    """Names the run of a backend server that a request is meant for."""
+    load: str = "Snipecart-Load"
+    """Carries ``running,waiting,slots`` in an answer."""
+    not_run: str = "Snipecart-Not-Run"
+    """Marks an answer to a request that the backend server did not run."""
+
+
+class Cancellation:
+    """Let another task cut a request off while a worker waits for it."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._cut: Callable[[], None] | None = None
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        """Cut off whatever the worker waits for."""
+        with self._lock:
+            self.cancelled = True
+            cut = self._cut
+        if cut is not None:
+            with suppress(OSError):
+                cut()
+
+    def guard(self, cut: Callable[[], None] | None) -> bool:
+        """Set how to cut the next wait; return False where it is too late."""
+        with self._lock:
+            self._cut = cut
+            return not self.cancelled
+
+
+@dataclass(frozen=True)
+class HttpRequest:
+    """Hold a request as its client sent it, its body whole."""
+
+    method: str
+    target: str
+    """Path and query, as sent."""
+    host: str
+    headers: Headers
+    """Those that concern more than the client's connection."""
+    body: bytes
+    request: RequestId
+    object: ObjectKey
+    """Empty where the client gave none."""
+    wait_ms: int
+    """Milliseconds the client waits; 0 leaves it to the route."""
+    began: Instant
+    cancellation: Cancellation = field(default_factory=Cancellation, compare=False)
+
+
+@dataclass(frozen=True)
+class Routed:
+    """Hold a request whose route is known."""
+
+    req: HttpRequest
+    route: Route
+    version: RoutingVersion
+    deadline: Instant
+
+    def remaining(self) -> float:
+        """Return the seconds left."""
+        return self.deadline - monotonic()
+
+
+@dataclass(frozen=True)
+class Placed:
+    """Hold a request that has a place at a backend server."""
+
+    routed: Routed
+    place: Place
+
+
+@dataclass(frozen=True)
+class Place:
+    """Say which backend server a request goes to."""
+
+    service: ServiceName
+    instance: InstanceId
+    host: str
+    port: int
+    queued_ms: int
+    """How long it is expected to wait there."""
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """Hold a whole answer of a backend server."""
+
+    status: int
+    reason: str
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True)
+class Sent:
+    """Tell how one send ended; ``answer`` is whole where it was answered."""
+
+    end: SendEnd
+    seconds: float
+    answer: HttpAnswer | None = None
+    load: tuple[int, int, int] | None = None
+    """Running and waiting requests, and slots."""
+    detail: str = ""
+
+
+@dataclass(frozen=True)
+class Attempt:
+    """Note one send for the log."""
+
+    instance: InstanceId
+    end: SendEnd
+    seconds: float
+
+
+@dataclass(frozen=True)
+class Answered:
+    """Hold the answer that goes to the client."""
+
+    routed: Routed
+    answer: HttpAnswer
+    attempts: tuple[Attempt, ...]
+
+
+@dataclass(frozen=True)
+class RequestFailed:
+    """Hold why a request has no answer, and whether it may have run."""
+
+    failure: Failure
+    may_have_run: bool
+    retry_after: float = 0.0
+    """Seconds after which the client should come back; 0 for no hint."""
+    routed: Routed | None = None
+    attempts: tuple[Attempt, ...] = ()
--- a/src/snipecart/messages/__init__.py
+++ b/src/snipecart/messages/__init__.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from . import commands
+from . import discovery
 from . import members
 from . import raft
 
-__all__ = ["commands", "members", "raft"]
+__all__ = ["commands", "discovery", "members", "raft"]
--- a/src/snipecart/messages/commands.py
+++ b/src/snipecart/messages/commands.py
@@ -8,14 +8,17 @@
 from ..core.ids import MemberId
 from ..core.ids import NodeId
 from ..core.ids import RequestKey
+from ..core.ids import RoutingVersion
 from ..core.ids import SubmissionId
 from ..core.ids import TextVersion
 from ..core.ids import UnixMillis
 from ..core.ids import VmName
+from ..core.ids import ZoneName
 from ..core.message import Nested
 from ..core.message import message
 from ..core.message import record
 from ..core.states import ClaimVerdict
+from ..core.states import RoutingVerdict
 from ..core.states import SubmitVerdict
 
 
@@ -27,6 +30,8 @@
     vm: VmName
     host: str
     port: int
+    added: bool = False
+    """Whether its VM came after the founding, maybe in place of another."""
 
 
 @message
@@ -119,6 +124,39 @@
     done: bool
 
 
+@message
+class PutRouting:
+    """Offer a routing table; the highest version wins."""
+
+    version: RoutingVersion
+    routing: bytes
+    source: bytes
+    """The table as the operator sent it."""
+
+
+@message
+class RoutingAnswer:
+    """Answer an offered routing table with the version now held."""
+
+    verdict: RoutingVerdict
+    version: RoutingVersion
+
+
+@message
+class SetEvacuation:
+    """Keep requests away from an availability zone, or let them back."""
+
+    zone: ZoneName
+    evacuated: bool
+
+
+@message
+class EvacuationAnswer:
+    """Confirm an evacuation and the log index that holds it."""
+
+    index: LogIndex
+
+
 @message
 class Refused:
     """Answer a request with a typed failure."""
--- a/src/snipecart/messages/raft.py
+++ b/src/snipecart/messages/raft.py
@@ -77,6 +77,15 @@
     """Ask the leader to teach a new control process the log."""
 
     joiner: Node
+    forwarded: bool = False
+    """Whether a follower has already handed it on to its leader."""
+
+
+@message
+class JoinAnswer:
+    """Tell a new control process who is in the log."""
+
+    nodes: tuple[Node, ...]
 
 
 @message
--- /dev/null
+++ b/src/snipecart/platform/manifest.py
@@ -0,0 +1,94 @@
+"""Translate the platform's routing document into the product's routing table."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from expression import Error
+from expression import Result
+
+from ..core.failures import Failure
+from ..core.failures import Fault
+from ..core.failures import TextInvalid
+from ..text.parse import load_json
+from ..text.routing import Routing
+from ..text.routing import check_routing
+from .names import IDEMPOTENT
+from .values import ValueMalformed
+from .values import read_field
+from .values import read_ms
+from .values import read_number
+from .values import read_version
+
+
+def decode_manifest(data: bytes) -> Result[Routing, Failure]:
+    """Return the routing table in a document, or all its faults."""
+    document = load_json(data)
+    if document.is_error():
+        return Error(TextInvalid("not JSON", (document.error,)))
+    try:
+        return check_routing(_routing(document.ok))
+    except ValueMalformed as exc:
+        fault = Fault("$", "malformed", str(exc))
+        return Error(TextInvalid("routing table has faults", (fault,)))
+
+
+def _routing(document: Any) -> dict[str, Any]:
+    fields = {
+        "version": read_version(read_field(document, "version", str)),
+        "routes": [_route(item) for item in read_field(document, "routes", list)],
+        "services": [_service(item) for item in read_field(document, "backends", list)],
+    }
+    if "limits" in document:
+        fields["limits"] = _limits(read_field(document, "limits", dict))
+    return fields
+
+
+def _route(item: Any) -> dict[str, Any]:
+    kind = read_field(item, "route_type", str)
+    if kind not in IDEMPOTENT:
+        raise ValueMalformed(f"route_type: {kind!r}")
+    return {
+        "name": read_field(item, "name", str),
+        "host": read_field(item, "hostname", str),
+        "prefix": read_field(item, "path_prefix", str),
+        "targets": _targets(item),
+        "idempotent": IDEMPOTENT[kind],
+        "timeout_ms": read_ms(item.get("timeout")),
+        "target_latency_ms": read_ms(item.get("target_latency")),
+        "rank": read_field(item, "priority", int),
+        "attempts": read_field(item, "max_attempts", int),
+        "affinity": bool(item.get("session_affinity", False)),
+        "regions": item.get("allowed_regions") or [],
+    }
+
+
+def _targets(item: dict[str, Any]) -> list[dict[str, Any]]:
+    if item.get("weighted_backends"):
+        return [
+            {
+                "service": read_field(part, "backend", str),
+                "weight": read_number(part, "weight"),
+            }
+            for part in read_field(item, "weighted_backends", list)
+        ]
+    return [{"service": read_field(item, "backend", str), "weight": 1.0}]
+
+
+def _service(item: Any) -> dict[str, Any]:
+    return {
+        "name": read_field(item, "name", str),
+        "health_path": str(item.get("health_check_path", "")),
+        "max_connections": int(item.get("max_connections") or 0),
+        "cold_ms": read_ms(item.get("cold_start", "0ms")),
+        "cold_per_s": float(item.get("cold_per_s") or 0.0),
+    }
+
+
+def _limits(item: dict[str, Any]) -> dict[str, Any]:
+    return {
+        "header_bytes": read_field(item, "max_header_bytes", int),
+        "body_bytes": read_field(item, "max_body_bytes", int),
+        "header_timeout_ms": read_ms(item.get("header_timeout")),
+        "idle_timeout_ms": read_ms(item.get("idle_timeout")),
+    }
--- /dev/null
+++ b/src/snipecart/platform/reports.py
@@ -0,0 +1,108 @@
+"""Translate what the platform's backend servers say of themselves."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+from typing import Any
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from ..core.failures import BadCall
+from ..core.ids import EndpointId
+from ..core.ids import InstanceId
+from ..core.ids import Millis
+from ..core.ids import RegionName
+from ..core.ids import ServiceName
+from ..core.ids import UnixMillis
+from ..core.ids import ZoneName
+from ..core.states import EndpointState
+from ..messages.discovery import Instance
+from ..text.parse import load_json
+from .names import DRAINING
+from .names import STATES
+from .values import ValueMalformed
+from .values import read_field
+from .values import read_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+ADDRESS = re.compile(r"\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}")
+
+MAX_WHOLE = 2**62
+"""Numbers above this are no sequence, time or count."""
+
+
+def decode_report(
+    name: str, data: bytes, regions: Mapping[ZoneName, RegionName]
+) -> Result[Instance, BadCall]:
+    """Return a backend server as its report describes it."""
+    document = load_json(data)
+    if document.is_error():
+        return Error(BadCall(document.error.reason))
+    try:
+        return Ok(_instance(name, document.ok, regions))
+    except ValueMalformed as exc:
+        return Error(BadCall(str(exc)))
+
+
+def _instance(
+    name: str, fields: Any, regions: Mapping[ZoneName, RegionName]
+) -> Instance:
+    info = read_field(fields, "info", dict)
+    status = read_field(fields, "status", dict)
+    zone = ZoneName(read_field(info, "zone", str))
+    state = read_field(status, "state", str)
+    address = read_field(fields, "address", str)
+    if zone not in regions or state not in STATES or not ADDRESS.fullmatch(address):
+        raise ValueMalformed(f"zone {zone!r}, state {state!r}, address {address!r}")
+    return Instance(
+        InstanceId(name),
+        EndpointId(address),
+        ServiceName(read_field(info, "backend", str)),
+        regions[zone],
+        zone,
+        _whole(info, "slots"),
+        EndpointState.LEAVING if state == DRAINING else EndpointState.SERVING,
+        _whole(status, "sequence"),
+        UnixMillis(_whole(fields, "born") if "born" in fields else 0),
+        Millis(read_ms(status.get("cold_remaining", "0ms"))),
+    )
+
+
+def _whole(fields: Any, name: str) -> int:
+    value = read_field(fields, name, int)
+    if not 0 <= value <= MAX_WHOLE:
+        raise ValueMalformed(f"{name}: {value!r}")
+    return value
+
+
+def decode_departure(name: str, data: bytes) -> Result[Instance, BadCall]:
+    """Return a backend server that says it is gone; only its run is known."""
+    born = 0
+    if data:
+        document = load_json(data)
+        if document.is_error():
+            return Error(BadCall(document.error.reason))
+        try:
+            if isinstance(document.ok, dict) and "born" in document.ok:
+                born = _whole(document.ok, "born")
+        except ValueMalformed as exc:
+            return Error(BadCall(str(exc)))
+    return Ok(
+        Instance(
+            InstanceId(name),
+            EndpointId(""),
+            ServiceName(""),
+            RegionName(""),
+            ZoneName(""),
+            0,
+            EndpointState.LEAVING,
+            0,
+            UnixMillis(born),
+            Millis(0),
+        )
+    )
--- /dev/null
+++ b/src/snipecart/program/http.py
@@ -0,0 +1,82 @@
+"""Serve HTTP by CherryPy's server, without its dispatcher."""
+
+from __future__ import annotations
+
+import threading
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cheroot.server import HTTPServer
+from cheroot.wsgi import Gateway_10
+from cheroot.wsgi import Server as WsgiServer
+
+from ..core.events import SERVER_ERROR
+from ..core.events import emit
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from .web import HttpListener
+    from .web import WsgiApp
+
+ACCEPT_QUEUE = 512
+"""Connections that may wait to be accepted."""
+
+KEPT_OPEN = 1500
+"""Connections that may stay open between requests."""
+
+IDLE_SECONDS = 20
+"""Seconds a connection may stay open between requests."""
+
+EXPIRE_EVERY = 1.0
+"""Seconds between two looks for idle connections."""
+
+STOP_WAIT = 1.0
+"""Seconds that requests have to end once a server stops."""
+
+
+def make_http_server(listener: HttpListener, gateway: type[Any]) -> HTTPServer:
+    """Return a server that hands requests to a gateway of one's own."""
+    server = HTTPServer(
+        (listener.host, listener.port), gateway, minthreads=listener.threads
+    )
+    _prepare(server)
+    return server
+
+
+def make_wsgi_server(listener: HttpListener, app: WsgiApp) -> WsgiServer:
+    """Return a server of a WSGI application."""
+    server = WsgiServer(
+        (listener.host, listener.port), app, numthreads=listener.threads
+    )
+    server.gateway = Gateway_10
+    _prepare(server)
+    return server
+
+
+def _prepare(server: HTTPServer) -> None:
+    server.request_queue_size = ACCEPT_QUEUE
+    server.timeout = IDLE_SECONDS
+    server.expiration_interval = EXPIRE_EVERY
+    server.shutdown_timeout = STOP_WAIT
+    server.keep_alive_conn_limit = KEPT_OPEN
+    server.server_name = "snipecart"
+    server.error_log = _log_error
+
+
+def _log_error(msg: str = "", level: int = 20, traceback: bool = False) -> None:
+    emit(SERVER_ERROR, detail=msg)
+
+
+@contextmanager
+def running_server(server: HTTPServer) -> Iterator[HTTPServer]:
+    """Serve on a thread of its own until the block ends."""
+    server.prepare()
+    thread = threading.Thread(target=server.serve, name="http", daemon=True)
+    thread.start()
+    try:
+        yield server
+    finally:
+        server.stop()
+        thread.join(STOP_WAIT)
--- a/src/snipecart/program/run.py
+++ b/src/snipecart/program/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import os
 import signal
 import sys
@@ -19,6 +20,7 @@
 from ..core.events import STOP_FORCED
 from ..core.events import emit
 from ..core.task import FAILED
+from .log import logging_json
 from .settings import Section
 from .settings import describe
 from .settings import load_settings
@@ -40,7 +42,19 @@
 SWITCH_INTERVAL = 0.001
 """Seconds a thread may hold the interpreter while others wait."""
 
-LOG_FORMAT = "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} {record.message}"
+
+class LogFormat(enum.Enum):
+    """Choose how events are written."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+def format_text(record: logbook.LogRecord, handler: logbook.Handler) -> str:
+    """Return an event as one line of text."""
+    pairs = [f"{key}={value}" for key, value in record.extra["fields"].items()]
+    head = f"{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name}"
+    return " ".join([head, f"E{record.extra['event']}", record.msg, *pairs])
 
 
 def settings_or_exit(model: type[Section], path: Path) -> Any:
@@ -55,9 +69,8 @@
 @contextmanager
 def logging_to_stderr(level: str) -> Iterator[None]:
     """Log events of a level and above to standard error."""
-    handler = logbook.StderrHandler(
-        level=logbook.lookup_level(level.upper()), format_string=LOG_FORMAT
-    )
+    handler = logbook.StderrHandler(level=logbook.lookup_level(level.upper()))
+    handler.formatter = format_text
     with handler.applicationbound():
         yield
 
@@ -93,10 +106,16 @@
     timer.start()
 
 
-def run_until_stopped(name: str, level: str, body: Callable[..., Any]) -> int:
+def run_until_stopped(
+    name: str,
+    level: str,
+    body: Callable[..., Any],
+    log_format: LogFormat = LogFormat.TEXT,
+) -> int:
     """Run a program's body, a context manager that may drain at its end."""
     sys.setswitchinterval(SWITCH_INTERVAL)
-    with logging_to_stderr(level), stop_signal() as stop:
+    logging = logging_json if log_format is LogFormat.JSON else logging_to_stderr
+    with logging(level), stop_signal() as stop:
         with body():
             emit(PROGRAM_STARTED, program=name)
             while not stop.wait(FAILURE_LOOK) and not FAILED.is_set():
--- a/src/snipecart/program/settings.py
+++ b/src/snipecart/program/settings.py
@@ -52,6 +52,10 @@
     data: Path
     peers: Annotated[tuple[ControlPeer, ...], Field(min_length=1)]
     """All control processes, this one among them."""
+    open_to_vms: bool = False
+    """Whether control processes on VMs that ``peers`` does not list may join."""
+    founding: bool = True
+    """Whether the system starts for the first time, with blank disks."""
     log_level: str = "NOTICE"
 
 
@@ -91,6 +95,36 @@
     log_level: str = "NOTICE"
 
 
+class RetryBudgetSettings(Section):
+    """Bound how many requests of a service are sent again, over all gateways."""
+
+    ratio: Annotated[float, Field(ge=0, le=1)] = 0.2
+    window_s: Annotated[float, Field(gt=0)] = 10.0
+    slack: Annotated[float, Field(ge=0)] = 10.0
+
+
+class GatewaySettings(Section):
+    """Set up an entry process that takes routed requests."""
+
+    vm: VmName
+    host: str
+    region: RegionName
+    zone: ZoneName
+    regions: tuple[RegionName, ...]
+    port: Port
+    ready_port: Port
+    threads: Annotated[int, Field(ge=4, le=1024)] = 160
+    control: Annotated[tuple[ControlPeer, ...], Field(min_length=1)]
+    """Control processes to begin with; they name the others."""
+    retries: RetryBudgetSettings = RetryBudgetSettings()
+    admission: str = "target"
+    linger_s: Annotated[float, Field(ge=0)] = 3.0
+    """Seconds a leaving process still takes requests."""
+    stop_s: Annotated[float, Field(ge=0)] = 5.2
+    """Seconds after which a leaving process ends, whatever is open."""
+    log_level: str = "INFO"
+
+
 class StandinEndpoint(Section):
     """Describe one backend server that a stand-in plays."""
 
--- /dev/null
+++ b/src/snipecart/text/routing.py
@@ -0,0 +1,128 @@
+"""Model the routing table that operators write for routed requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Annotated
+
+from expression import Error
+from expression import Ok
+from expression import Result
+from pydantic import Field
+from pydantic import ValidationError
+
+from ..core.failures import Failure
+from ..core.failures import Fault
+from ..core.failures import TextInvalid
+from ..core.ids import HostName
+from ..core.ids import RegionName
+from ..core.ids import RouteName
+from ..core.ids import RoutingVersion
+from ..core.ids import ServiceName
+from .model import Part
+from .parse import faults_of
+from .parse import load_json
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+MAX_TIMEOUT_MS = 600_000
+
+MAX_TARGET_OVER_TIMEOUT_MS = 60_000
+"""A latency target this far above its route's timeout is a mistake."""
+
+
+class Target(Part):
+    """Send a part of a route's requests to a service."""
+
+    service: ServiceName
+    weight: Annotated[float, Field(ge=0, strict=False)]
+
+
+class Route(Part):
+    """Say where requests of a host below a path prefix go."""
+
+    name: RouteName
+    host: HostName
+    prefix: Annotated[str, Field(pattern=r"^/(.*/)?$")]
+    targets: Annotated[tuple[Target, ...], Field(min_length=1, strict=False)]
+    idempotent: bool
+    """Whether a request may run more than once; else once for each send."""
+    timeout_ms: Annotated[int, Field(ge=1, le=MAX_TIMEOUT_MS)]
+    target_latency_ms: Annotated[int, Field(ge=0)]
+    rank: Annotated[int, Field(ge=0)]
+    """0 is the most urgent."""
+    attempts: Annotated[int, Field(ge=1)]
+    """Backend servers that one send of a request may reach."""
+    affinity: bool
+    """Whether a backend server that knows a request's object answers faster."""
+    regions: Annotated[tuple[RegionName, ...], Field(strict=False)] = ()
+    """Where requests may be served; empty for anywhere."""
+
+
+class RoutedService(Part):
+    """Describe the backend servers that routes lead to."""
+
+    name: ServiceName
+    health_path: str
+    max_connections: Annotated[int, Field(ge=0)]
+    """Connections a backend server takes from all callers; 0 for no limit."""
+    cold_ms: Annotated[int, Field(ge=0)]
+    cold_per_s: Annotated[float, Field(ge=0, strict=False)]
+    """Requests a second that a cold backend server bears; 0 for no limit."""
+
+
+class ClientLimits(Part):
+    """Bound what clients may send and how long they may take."""
+
+    header_bytes: Annotated[int, Field(ge=0)] = 16_384
+    body_bytes: Annotated[int, Field(ge=0)] = 64 * 1024 * 1024
+    header_timeout_ms: Annotated[int, Field(ge=0)] = 5_000
+    idle_timeout_ms: Annotated[int, Field(ge=0)] = 15_000
+
+
+class Routing(Part):
+    """Hold one version of the routing table."""
+
+    version: Annotated[RoutingVersion, Field(ge=0)]
+    routes: Annotated[tuple[Route, ...], Field(strict=False)]
+    services: Annotated[tuple[RoutedService, ...], Field(strict=False)]
+    limits: ClientLimits = ClientLimits()
+
+
+def _find_faults(routing: Routing) -> Iterator[Fault]:
+    names = {service.name for service in routing.services}
+    for at, route in enumerate(routing.routes):
+        for index, target in enumerate(route.targets):
+            if target.service not in names:
+                path = f"$.routes[{at}].targets[{index}].service"
+                yield Fault(path, "unknown_service", target.service)
+        over = route.target_latency_ms - route.timeout_ms
+        if over >= MAX_TARGET_OVER_TIMEOUT_MS:
+            path = f"$.routes[{at}].target_latency_ms"
+            yield Fault(path, "target_over_timeout", f"{over} ms over the timeout")
+
+
+def check_routing(document: object) -> Result[Routing, Failure]:
+    """Return the routing table of a parsed document, or TextInvalid."""
+    try:
+        routing = Routing.model_validate(document)
+    except ValidationError as exc:
+        return Error(TextInvalid("routing table has faults", faults_of(exc)))
+    faults = tuple(_find_faults(routing))
+    if faults:
+        return Error(TextInvalid("routing table has faults", faults))
+    return Ok(routing)
+
+
+def parse_routing(data: bytes) -> Result[Routing, Failure]:
+    """Return the routing table in JSON bytes, or TextInvalid."""
+    document = load_json(data)
+    if document.is_error():
+        return Error(TextInvalid("not JSON", (document.error,)))
+    return check_routing(document.ok)
+
+
+def dump_routing(routing: Routing) -> bytes:
+    """Return a routing table as JSON."""
+    return routing.model_dump_json().encode()
--- a/src/snipecart/wire/frames.py
+++ b/src/snipecart/wire/frames.py
@@ -19,6 +19,15 @@
 DIAL_TIMEOUT = 1.0
 """Seconds to wait for a connection."""
 
+KEEP_ALIVE_IDLE = 1
+"""Seconds without bytes before a peer is probed, and between two probes."""
+
+KEEP_ALIVE_PROBES = 2
+"""Probes that a peer may leave unanswered."""
+
+SILENT_PEER_MS = 1500
+"""Milliseconds that sent bytes may stay unacknowledged."""
+
 BACKLOG = 512
 """Connections that may wait to be accepted."""
 
@@ -59,9 +68,23 @@
     return sock
 
 
+def keep_alive_options() -> list[tuple[int, int, int]]:
+    """Return the socket options that end a connection to a silent peer."""
+    tcp = socket.IPPROTO_TCP
+    return [
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (tcp, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE),
+        (tcp, socket.TCP_KEEPINTVL, KEEP_ALIVE_IDLE),
+        (tcp, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
+        (tcp, socket.TCP_USER_TIMEOUT, SILENT_PEER_MS),
+    ]
+
+
 def prepare(sock: socket.socket) -> None:
     """Send at once, and give up on a peer that does not read."""
     sock.settimeout(None)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    for level, name, value in keep_alive_options():
+        sock.setsockopt(level, name, value)
     timeout = struct.pack("ll", int(SEND_TIMEOUT), 0)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, timeout)
--- a/src/snipecart/wire/schema.capnp
+++ b/src/snipecart/wire/schema.capnp
@@ -1,6 +1,8 @@
 @0xbf5147cbbecf40c1;
 
-struct Node { node @0 :Text; vm @1 :Text; host @2 :Text; port @3 :UInt16; }
+struct Node {
+  node @0 :Text; vm @1 :Text; host @2 :Text; port @3 :UInt16; added @4 :Bool;
+}
 struct Entry { index @0 :UInt64; term @1 :UInt64; at @2 :UInt64; command @3 :Data; }
 struct Noop {}
 struct ChangeVoters { voters @0 :List(Node); learners @1 :List(Node); }
@@ -37,7 +39,8 @@
   term @0 :UInt64; leader @1 :Text; index @2 :UInt64; indexTerm @3 :UInt64;
   voters @4 :List(Node); learners @5 :List(Node); state @6 :Data; sent @7 :UInt64;
 }
-struct JoinRequest { joiner @0 :Node; }
+struct JoinRequest { joiner @0 :Node; forwarded @1 :Bool; }
+struct JoinAnswer { nodes @0 :List(Node); }
 struct DiskBatch {
   term @0 :UInt64; votedFor @1 :Text; cutFrom @2 :UInt64; entries @3 :List(Entry);
 }
@@ -70,6 +73,35 @@
 struct FetchText {}
 struct TextAnswer { version @0 :UInt64; text @1 :Data; }
 
+struct PutRouting { version @0 :UInt64; routing @1 :Data; source @2 :Data; }
+struct RoutingAnswer { verdict @0 :Text; version @1 :UInt64; }
+struct SetEvacuation { zone @0 :Text; evacuated @1 :Bool; }
+struct EvacuationAnswer { index @0 :UInt64; }
+
+struct Instance {
+  instance @0 :Text; endpoint @1 :Text; service @2 :Text; region @3 :Text; zone @4 :Text;
+  slots @5 :UInt32; state @6 :Text; sequence @7 :UInt64; born @8 :UInt64; cold @9 :UInt32;
+}
+struct Gateway {
+  gateway @0 :Text; vm @1 :Text; region @2 :Text; zone @3 :Text; address @4 :Text;
+  state @5 :Text;
+}
+struct SyncRequest {
+  gateway @0 :Gateway; source @1 :Text; revision @2 :UInt64; routingVersion @3 :UInt64;
+  evacuationIndex @4 :UInt64; wantsChanges @5 :Bool;
+}
+struct SyncAnswer {
+  source @0 :Text; revision @1 :UInt64; complete @2 :Bool; instances @3 :List(Instance);
+  gone @4 :List(Text); routingVersion @5 :UInt64; routing @6 :Data;
+  evacuationIndex @7 :UInt64; evacuated @8 :List(Text); control @9 :List(Node);
+  gateways @10 :UInt32; ready @11 :Bool;
+}
+struct InstanceChanged { instance @0 :Instance; gone @1 :Bool; }
+struct InstanceSeen { gateway @0 :Text; instance @1 :Text; }
+struct RoutingChanged { routingVersion @0 :UInt64; evacuationIndex @1 :UInt64; }
+struct Heard { instance @0 :Instance; gone @1 :Bool; }
+struct Gossip { sender @0 :Text; heard @1 :List(Heard); }
+
 struct Envelope {
   correlation @0 :UInt64;
   union {
@@ -95,5 +127,16 @@
     heartbeatAnswer @20 :HeartbeatAnswer;
     fetchText @21 :FetchText;
     textAnswer @22 :TextAnswer;
+    putRouting @23 :PutRouting;
+    routingAnswer @24 :RoutingAnswer;
+    setEvacuation @25 :SetEvacuation;
+    evacuationAnswer @26 :EvacuationAnswer;
+    syncRequest @27 :SyncRequest;
+    syncAnswer @28 :SyncAnswer;
+    instanceChanged @29 :InstanceChanged;
+    instanceSeen @30 :InstanceSeen;
+    routingChanged @31 :RoutingChanged;
+    gossip @32 :Gossip;
+    joinAnswer @33 :JoinAnswer;
   }
 }
