Test the gateway's and discovery's decisions, and load no dispatcher where none serves

Cause: the platform's programs imported CherryPy's dispatcher, which none of their listeners uses; answers in HTTP's terms and listeners now have modules of their own. The fuzzed decoder found that a service whose numbers are no numbers raised instead of being refused; mended.

--- a/src/snipecart/cli/control.py
+++ b/src/snipecart/cli/control.py
@@ -13,8 +13,8 @@
 from ..control.disk.store import FolderInUse
 from ..control.disk.store import data_folder
 from ..control.disk.store import found
-from ..control.factory import control_program
 from ..control.factory import founders
+from ..control.program import control_program
 from ..core.events import LOG_CORRUPT
 from ..core.events import emit
 from ..program.run import EXIT_FAILED
--- a/src/snipecart/cli/load.py
+++ b/src/snipecart/cli/load.py
@@ -10,7 +10,7 @@
 from ..bench.load import LoadPlan
 from ..bench.load import LoadRun
 from ..bench.load import summarize_ranks
-from ..program.pages import to_json
+from ..program.answers import to_json
 from ..program.run import settings_or_exit
 
 
--- a/src/snipecart/cli/operator.py
+++ b/src/snipecart/cli/operator.py
@@ -17,7 +17,7 @@
 
 from ..core.failures import Failure
 from ..core.failures import TextInvalid
-from ..program.pages import to_json
+from ..program.answers import to_json
 from ..text.diff import Change
 from ..text.diff import diff_texts
 from ..text.model import Text
--- a/src/snipecart/control/factory.py
+++ b/src/snipecart/control/factory.py
@@ -19,8 +19,6 @@
 from ..core.task import monotonic
 from ..core.task import running
 from ..messages.commands import Node
-from ..program.web import HttpListener
-from ..program.web import serving
 from ..wire.codec import Framed
 from ..wire.links import Link
 from ..wire.links import Listener
@@ -38,7 +36,6 @@
 from .node import EVERYONE
 from .node import NodeTask
 from .node import Outlets
-from .pages import ControlPages
 from .raft.log import Log
 from .raft.replication import members_in
 from .raft.state import Members
@@ -51,8 +48,6 @@
     from ..core.failures import Failure
     from ..program.settings import ControlSettings
 
-HTTP_THREADS = 8
-
 
 def founders(cfg: ControlSettings) -> tuple[Node, ...]:
     """Return the control processes that a new log begins with."""
@@ -206,16 +201,3 @@
             finally:
                 listener.stop()
                 links.close()
-
-
-@contextmanager
-def control_program(cfg: ControlSettings) -> Iterator[Result[ControlTasks, Failure]]:
-    """Run a control process until the block ends."""
-    web = {peer.vm: f"{peer.host}:{peer.http_port}" for peer in cfg.peers}
-    with control_tasks(cfg) as tasks:
-        if tasks.is_error():
-            yield tasks
-            return
-        pages = ControlPages(tasks.ok.node, web)
-        with serving([HttpListener(cfg.host, cfg.http_port, HTTP_THREADS)], {}, pages):
-            yield tasks
--- a/src/snipecart/entry/factory.py
+++ b/src/snipecart/entry/factory.py
@@ -14,7 +14,7 @@
 from ..core.task import running
 from ..messages.members import Member
 from ..messages.members import RankPort
-from ..program.web import HttpListener
+from ..program.listener import HttpListener
 from ..program.web import serving
 from .backend import BackendClient
 from .canceller import CancelTask
--- a/src/snipecart/entry/lookup.py
+++ b/src/snipecart/entry/lookup.py
@@ -10,8 +10,8 @@
 
 from ..core.ids import RegionName
 from ..core.states import MemberState
-from ..program.pages import JSON_TYPE
-from ..program.pages import to_json
+from ..program.answers import JSON_TYPE
+from ..program.answers import to_json
 from .metrics import LOOKUPS
 
 if TYPE_CHECKING:
--- a/src/snipecart/entry/source.py
+++ b/src/snipecart/entry/source.py
@@ -20,9 +20,9 @@
 from ..core.states import Outcome
 from ..core.states import Rank
 from ..core.task import monotonic
-from ..program.pages import HTTP_STATUS
-from ..program.pages import JSON_TYPE
-from ..program.pages import to_json
+from ..program.answers import HTTP_STATUS
+from ..program.answers import JSON_TYPE
+from ..program.answers import to_json
 from .call import AnsweredCall
 from .call import CallFailed
 from .call import CallRequest
--- a/src/snipecart/gateway/factory.py
+++ b/src/snipecart/gateway/factory.py
@@ -15,7 +15,7 @@
 from ..core.task import monotonic
 from ..core.task import running
 from ..messages.discovery import Gateway
-from ..program.web import HttpListener
+from ..program.listener import HttpListener
 from .backends import BackendConnections
 from .pipeline import GatewayContext
 from .pipeline import make_pipeline
--- a/src/snipecart/gateway/server.py
+++ b/src/snipecart/gateway/server.py
@@ -25,12 +25,12 @@
 from ..core.ids import ObjectKey
 from ..core.ids import RequestId
 from ..core.task import monotonic
+from ..program.answers import HTTP_STATUS
+from ..program.answers import JSON_TYPE
+from ..program.answers import failure_fields
+from ..program.answers import to_json
 from ..program.http import make_http_server
 from ..program.http import running_server
-from ..program.pages import HTTP_STATUS
-from ..program.pages import JSON_TYPE
-from ..program.pages import failure_fields
-from ..program.pages import to_json
 from .headers import end_to_end
 from .metrics import REFUSALS
 from .metrics import REQUEST_SECONDS
@@ -45,7 +45,7 @@
     from collections.abc import Iterator
 
     from ..core.pipe import Pipe
-    from ..program.web import HttpListener
+    from ..program.listener import HttpListener
     from ..text.routing import ClientLimits
     from .placing.task import PlacingTask
     from .request import HeaderNames
--- a/src/snipecart/platform/__main__.py
+++ b/src/snipecart/platform/__main__.py
@@ -12,12 +12,12 @@
 
 from ..program.http import make_wsgi_server
 from ..program.http import running_server
+from ..program.listener import HttpListener
 from ..program.run import EXIT_FAILED
 from ..program.run import EXIT_SETTINGS
 from ..program.run import LogFormat
 from ..program.run import run_until_stopped
 from ..program.settings import describe
-from ..program.web import HttpListener
 from . import names
 from .settings import control_settings
 from .settings import gateway_settings
--- a/src/snipecart/platform/calls.py
+++ b/src/snipecart/platform/calls.py
@@ -38,10 +38,10 @@
 from ..messages.commands import PutRouting
 from ..messages.commands import Refused
 from ..messages.commands import SetEvacuation
-from ..program.pages import HTTP_STATUS
-from ..program.pages import JSON_TYPE
-from ..program.pages import failure_fields
-from ..program.pages import to_json
+from ..program.answers import HTTP_STATUS
+from ..program.answers import JSON_TYPE
+from ..program.answers import failure_fields
+from ..program.answers import to_json
 from ..text.routing import dump_routing
 from ..wire.links import Received
 from . import names
--- a/src/snipecart/platform/manifest.py
+++ b/src/snipecart/platform/manifest.py
@@ -78,10 +78,10 @@
 def _service(item: Any) -> dict[str, Any]:
     return {
         "name": read_field(item, "name", str),
-        "health_path": str(item.get("health_check_path", "")),
-        "max_connections": int(item.get("max_connections") or 0),
+        "health_path": item.get("health_check_path", ""),
+        "max_connections": item.get("max_connections", 0),
         "cold_ms": read_ms(item.get("cold_start", "0ms")),
-        "cold_per_s": float(item.get("cold_per_s") or 0.0),
+        "cold_per_s": item.get("cold_per_s", 0.0),
     }
 
 
--- a/src/snipecart/program/http.py
+++ b/src/snipecart/program/http.py
@@ -17,8 +17,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from .web import HttpListener
-    from .web import WsgiApp
+    from .listener import HttpListener
+    from .listener import WsgiApp
 
 ACCEPT_QUEUE = 512
 """Connections that may wait to be accepted."""
--- a/src/snipecart/program/pages.py
+++ b/src/snipecart/program/pages.py
@@ -2,47 +2,20 @@
 
 from __future__ import annotations
 
-import json
-from dataclasses import asdict
+from typing import TYPE_CHECKING
 from typing import Any
 
 import cherrypy
 from prometheus_client import CONTENT_TYPE_LATEST
 from prometheus_client import generate_latest
 
-from ..core.failures import Category
-from ..core.failures import Failure
+from .answers import HTTP_STATUS
+from .answers import JSON_TYPE
+from .answers import failure_fields
+from .answers import to_json
 
-HTTP_STATUS: dict[Category, int] = {
-    Category.INVALID: 400,
-    Category.NOT_FOUND: 404,
-    Category.CONFLICT: 409,
-    Category.TOO_LARGE: 413,
-    Category.MISDIRECTED: 421,
-    Category.OVERLOAD: 429,
-    Category.UPSTREAM: 502,
-    Category.UNAVAILABLE: 503,
-    Category.TIMEOUT: 504,
-}
-"""The HTTP status of each group of failures."""
-
-JSON_TYPE = "application/json"
-
-
-def to_json(value: Any) -> bytes:
-    """Return a value as JSON."""
-    return json.dumps(value, default=_plain).encode()
-
-
-def _plain(value: Any) -> Any:
-    if isinstance(value, bytes):
-        return value.decode(errors="replace")
-    return asdict(value)
-
-
-def failure_fields(failure: Failure) -> dict[str, Any]:
-    """Return a failure's reason and other fields."""
-    return {"reason": failure.reason, **asdict(failure)}
+if TYPE_CHECKING:
+    from ..core.failures import Failure
 
 
 def answer_json(value: Any, status: int = 200) -> bytes:
--- a/src/snipecart/program/web.py
+++ b/src/snipecart/program/web.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
-from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from typing import TYPE_CHECKING
 from typing import Any
 
 import cherrypy
 from cherrypy import _cpserver
 
-WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], list[bytes]]
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from .listener import HttpListener
+    from .listener import WsgiApp
 
 ACCEPT_WAIT = 0.01
 """Seconds a new connection waits for a place in a listener's queue."""
@@ -24,15 +26,6 @@
 """Seconds a connection may stay open between requests."""
 
 
-@dataclass(frozen=True)
-class HttpListener:
-    """Describe one listening address and the threads behind it."""
-
-    host: str
-    port: int
-    threads: int
-
-
 def make_server(listener: HttpListener) -> _cpserver.Server:
     """Return a CherryPy server for a listener."""
     server = _cpserver.Server()
--- a/src/snipecart/text/routing.py
+++ b/src/snipecart/text/routing.py
@@ -36,7 +36,7 @@
     """Send a part of a route's requests to a service."""
 
     service: ServiceName
-    weight: Annotated[float, Field(ge=0, strict=False)]
+    weight: Annotated[float, Field(ge=0, allow_inf_nan=False, strict=False)]
 
 
 class Route(Part):
@@ -68,7 +68,7 @@
     max_connections: Annotated[int, Field(ge=0)]
     """Connections a backend server takes from all callers; 0 for no limit."""
     cold_ms: Annotated[int, Field(ge=0)]
-    cold_per_s: Annotated[float, Field(ge=0, strict=False)]
+    cold_per_s: Annotated[float, Field(ge=0, allow_inf_nan=False, strict=False)]
     """Requests a second that a cold backend server bears; 0 for no limit."""
 
 
--- /dev/null
+++ b/tests/control/test_discovery.py
@@ -0,0 +1,174 @@
+"""Test which reports of backend servers are news, and who must confirm them."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from snipecart.control.discovery.gateways import named_gateways
+from snipecart.control.discovery.table import SILENCE
+from snipecart.control.discovery.table import InstanceTable
+from snipecart.control.discovery.table import ReportVerdict
+from snipecart.control.discovery.task import Adopted
+from snipecart.control.discovery.task import DiscoveryTask
+from snipecart.control.discovery.task import Report
+from snipecart.core.states import EndpointState
+from snipecart.core.states import MemberState
+from snipecart.messages.commands import Node
+from snipecart.messages.discovery import Gateway
+from snipecart.messages.discovery import Gossip
+from snipecart.messages.discovery import InstanceChanged
+from snipecart.messages.discovery import InstanceSeen
+from snipecart.messages.discovery import SyncRequest
+from snipecart.wire.links import Received
+from tests.gateway.world import make_instance
+
+FIRST = make_instance(1, born=1000, sequence=1)
+NEWS, REPEATED, STALE = ReportVerdict.NEWS, ReportVerdict.REPEATED, ReportVerdict.STALE
+
+
+def judge(table, instance, now=10.0, *, gone=False):
+    return table.report(instance, gone, now).verdict
+
+
+def test_later_reports_without_news_only_show_life():
+    table = InstanceTable()
+    assert judge(table, FIRST) is NEWS
+    assert judge(table, replace(FIRST, sequence=2)) is REPEATED
+    leaving = replace(FIRST, sequence=3, state=EndpointState.LEAVING)
+    assert judge(table, leaving) is NEWS
+
+
+def test_late_reports_change_nothing():
+    table = InstanceTable()
+    leaving = replace(FIRST, sequence=5, state=EndpointState.LEAVING)
+    judge(table, leaving)
+    assert judge(table, replace(FIRST, sequence=4)) is STALE
+    assert table.known[FIRST.instance].instance.state is EndpointState.LEAVING
+
+
+def test_a_departed_run_stays_gone_and_a_new_run_of_its_id_counts():
+    table = InstanceTable()
+    judge(table, FIRST)
+    departure = replace(FIRST, born=0, sequence=0)
+    assert judge(table, departure, gone=True) is NEWS
+    assert judge(table, replace(FIRST, sequence=9)) is STALE
+    assert judge(table, replace(FIRST, born=2000)) is NEWS
+    assert judge(table, replace(FIRST, born=1000), gone=True) is STALE
+
+
+def test_a_later_run_takes_an_address_over_and_an_earlier_one_does_not():
+    table = InstanceTable()
+    judge(table, FIRST)
+    later = make_instance(2, endpoint=FIRST.endpoint, born=5000)
+    assert judge(table, later) is NEWS
+    assert set(table.known) == {later.instance}
+    forged = make_instance(3, endpoint=FIRST.endpoint, born=3000)
+    assert judge(table, forged) is STALE
+
+
+def test_the_silent_expire_and_a_later_report_brings_them_back():
+    table = InstanceTable()
+    judge(table, FIRST, 10.0)
+    assert not table.expire(10.0 + SILENCE)
+    assert [item.gone for item in table.expire(10.1 + SILENCE)] == [True]
+    assert judge(table, replace(FIRST, sequence=2), 30.0) is NEWS
+
+
+def test_a_reader_gets_what_changed_since_its_revision():
+    table = InstanceTable()
+    judge(table, FIRST)
+    seen = table.revision
+    judge(table, make_instance(2))
+    judge(table, replace(FIRST, sequence=2), gone=True)
+    changes = {
+        item.instance.instance: item.gone for item in table.changes_since(seen, 1)
+    }
+    assert changes == {"i-racks-1": True, "i-racks-2": False}
+
+
+def test_a_cold_spell_is_news_once():
+    table = InstanceTable()
+    judge(table, replace(FIRST, cold=3000), 10.0)
+    again = replace(FIRST, sequence=2, cold=1500)
+    assert judge(table, again, 11.5) is REPEATED
+    assert judge(table, replace(FIRST, sequence=3, cold=3000), 20.0) is NEWS
+
+
+def make_gateway(name, region="north", state=MemberState.SERVING):
+    return Gateway(name, f"vm-{name}", region, f"{region}-a", f"{name}:80", state)
+
+
+class Control:
+    """Drive one discovery task by its messages, without its thread."""
+
+    def __init__(self):
+        self.task = DiscoveryTask("c1", lambda message: None)
+        nodes = tuple(Node(f"{vm}/founder", vm, vm, 1) for vm in ("c1", "c2", "c3"))
+        self.task.handle([Adopted(voters=nodes)], 50.0)
+        self.replies = []
+        self.pushed = []
+
+    def hear(self, now, *peers):
+        gossip = [Received(Gossip(peer, ()), print) for peer in peers]
+        self.task.handle(gossip, now)
+
+    def sync(self, name, now):
+        req = SyncRequest(make_gateway(name), "", 0, 0, 0, True)
+        self.task.handle([Received(req, self.pushed.append)], now)
+
+    def report(self, instance, now, *, gone=False):
+        self.task.handle([Report(instance, gone, self.replies.append)], now)
+
+    def confirm(self, name, now):
+        seen = InstanceSeen(name, FIRST.instance)
+        self.task.handle([Received(seen, print)], now)
+
+
+def test_leaving_is_confirmed_only_when_every_live_gateway_has_seen_it():
+    control = Control()
+    control.hear(50.0, "c2")
+    for name in ("g1", "g2"):
+        control.sync(name, 50.0)
+    control.report(replace(FIRST, state=EndpointState.LEAVING), 50.1)
+    assert sum(isinstance(item, InstanceChanged) for item in control.pushed) == 2
+    control.confirm("g1", 50.2)
+    assert control.replies == []
+    control.confirm("g2", 50.3)
+    assert control.replies == [True]
+
+
+def test_leaving_is_not_confirmed_while_a_live_gateway_has_not_seen_it():
+    control = Control()
+    control.hear(50.0, "c2")
+    control.sync("g1", 50.0)
+    control.report(replace(FIRST, state=EndpointState.LEAVING), 50.1)
+    control.task.handle([], 50.9)
+    assert control.replies == [False]
+
+
+def test_a_repeated_departure_is_confirmed_anew():
+    control = Control()
+    control.hear(50.0, "c2")
+    control.sync("g1", 50.0)
+    control.report(FIRST, 50.0)
+    control.report(FIRST, 50.1, gone=True)
+    control.task.handle([], 50.9)
+    control.report(FIRST, 51.0, gone=True)
+    assert control.replies == [True, False, False]
+
+
+def test_a_cut_off_control_process_confirms_nothing():
+    control = Control()
+    control.hear(50.0, "c2")
+    control.report(FIRST, 50.5)
+    control.report(replace(FIRST, sequence=2), 51.5)
+    assert control.replies == [True, False]
+
+
+def test_look_ups_name_serving_gateways_of_the_clients_region_first():
+    near = make_gateway("g1")
+    far = make_gateway("g2", "south")
+    leaving = make_gateway("g3", state=MemberState.LEAVING)
+    chosen = named_gateways((far, leaving, near), "north", "north-a", 5)
+    assert chosen == [near]
+    assert named_gateways((far, leaving), "north", "north-a", 5) == [far]
--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,3 @@
+"""Test the gateway."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/gateway/test_placing.py
@@ -0,0 +1,194 @@
+"""Test which backend server a request gets, by the decisions alone."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from snipecart.core.ids import Instant
+from snipecart.core.states import EndpointState
+from snipecart.core.states import SendEnd
+from snipecart.gateway.placing.hashing import region_shares
+from snipecart.gateway.placing.state import take_sync
+from snipecart.messages.discovery import SyncAnswer
+from snipecart.text.routing import dump_routing
+
+from .world import Gateway
+from .world import make_instance
+from .world import make_route
+from .world import make_routing
+
+ONE = make_routing(make_route())
+
+
+def make_sync(**more):
+    fields = {
+        "source": "s",
+        "revision": 1,
+        "complete": False,
+        "instances": (),
+        "gone": (),
+        "routing_version": 1,
+        "routing": b"",
+        "evacuation_index": 0,
+        "evacuated": (),
+        "control": (),
+        "gateways": 3,
+        "ready": True,
+    }
+    return SyncAnswer(**{**fields, **more})
+
+
+def test_gateways_of_a_region_agree_on_an_objects_server_without_a_message():
+    servers = [make_instance(number) for number in range(8)]
+    one, other = Gateway(ONE).know(*servers), Gateway(ONE).know(*reversed(servers))
+    for key in map(str, range(40)):
+        first = one.place(one.request(key=key)).instance
+        assert other.place(other.request(key=key)).instance == first
+
+
+def test_few_objects_move_when_a_server_goes():
+    servers = [make_instance(number) for number in range(8)]
+    before, after = Gateway(ONE).know(*servers), Gateway(ONE).know(*servers[1:])
+    keys = [str(number) for number in range(200)]
+
+    def home(gateway, key):
+        routed = gateway.request(key=key)
+        place = gateway.place(routed)
+        gateway.end(routed, place)
+        return place.instance
+
+    moved = sum(home(before, key) != home(after, key) for key in keys)
+    held = sum(home(before, key) == servers[0].instance for key in keys)
+    assert moved == held
+
+
+def test_a_full_server_passes_its_objects_on():
+    gateway = Gateway(ONE).know(make_instance(1), make_instance(2))
+    places = Counter(gateway.place().instance for _ in range(8))
+    assert sorted(places.values()) == [4, 4]
+
+
+def test_load_that_others_sent_counts():
+    gateway = Gateway(ONE).know(make_instance(1), make_instance(2))
+    routed = gateway.request()
+    first = gateway.place(routed)
+    gateway.end(routed, first, load=(4, 3, 4))
+    assert gateway.place().instance != first.instance
+
+
+def test_evacuated_leaving_and_foreign_servers_get_nothing():
+    homes = make_routing(make_route(regions=["south"]))
+    gateway = Gateway(homes).know(make_instance(1), make_instance(2, "south"))
+    assert gateway.place().instance == "i-racks-2"
+    take_sync(
+        gateway.state, make_sync(evacuation_index=5, evacuated=("south-a",)), 100.0
+    )
+    assert gateway.place() == "no_endpoint"
+    gateway = Gateway(ONE).know(make_instance(1, state=EndpointState.LEAVING))
+    assert gateway.place() == "no_endpoint"
+
+
+def test_an_older_evacuation_changes_nothing():
+    gateway = Gateway(ONE).know(make_instance(1))
+    take_sync(gateway.state, make_sync(evacuation_index=9, evacuated=()), 100.0)
+    take_sync(
+        gateway.state, make_sync(evacuation_index=5, evacuated=("north-a",)), 100.0
+    )
+    assert gateway.place().instance == "i-racks-1"
+
+
+def test_an_older_routing_table_never_comes_back():
+    gateway = Gateway(make_routing(make_route(), version=5))
+    older = dump_routing(make_routing(make_route(), version=4))
+    take_sync(gateway.state, make_sync(routing=older), 100.0)
+    assert gateway.state.index.routing.version == 5
+
+
+def test_a_complete_list_drops_what_it_lacks():
+    gateway = Gateway(ONE).know(make_instance(1), make_instance(2))
+    take_sync(
+        gateway.state, make_sync(complete=True, instances=(make_instance(2),)), 100.0
+    )
+    assert set(gateway.state.servers) == {"i-racks-2"}
+
+
+def test_a_cold_server_gets_no_more_than_its_part_from_each_gateway():
+    gateway = Gateway(ONE).know(make_instance(1, cold=3000, slots=50))
+    take_sync(gateway.state, make_sync(gateways=5), gateway.now)
+    sent = 0
+    for _ in range(200):
+        gateway.now = Instant(gateway.now + 0.01)
+        routed = gateway.request()
+        place = gateway.place(routed)
+        if not isinstance(place, str):
+            sent += 1
+            gateway.end(routed, place)
+    assert 4 <= sent <= 2 * 10 / 5 + 1
+
+
+def test_a_server_that_refuses_connections_is_left_alone_and_tried_again():
+    gateway = Gateway(ONE).know(make_instance(1), make_instance(2))
+    routed = gateway.request()
+    first = gateway.place(routed)
+    gateway.end(routed, first, SendEnd.NOT_SENT)
+    assert gateway.place().instance != first.instance
+    gateway.now = Instant(gateway.now + 1.0)
+    assert gateway.place().instance == first.instance
+
+
+def test_a_slow_server_loses_its_objects():
+    gateway = Gateway(ONE).know(*(make_instance(number) for number in range(4)))
+    for key in map(str, range(60)):
+        routed = gateway.request(key=key)
+        gateway.end(routed, gateway.place(routed))
+    slow = gateway.place(gateway.request(key="1")).instance
+    for _ in range(12):
+        routed = gateway.request(key="1")
+        place = gateway.place(routed)
+        seconds = 1.0 if place.instance == slow else 0.2
+        gateway.end(routed, place, seconds=seconds)
+    assert gateway.place(gateway.request(key="1")).instance != slow
+
+
+def test_a_flood_is_refused_at_once_and_the_less_urgent_first():
+    routing = make_routing(
+        make_route("look", rank=0), make_route("issue", rank=2, target_latency_ms=1200)
+    )
+    gateway = Gateway(routing).know(make_instance(1))
+    for name in ("look", "issue"):
+        gateway.state.usual[name] = 0.2
+    ends = [gateway.place(gateway.request("/issue/x")) for _ in range(40)]
+    issued = sum(not isinstance(end, str) for end in ends)
+    looked = sum(
+        not isinstance(gateway.place(gateway.request("/look/x")), str)
+        for _ in range(40)
+    )
+    assert 4 <= issued < 12
+    assert looked > 0
+    assert gateway.place(gateway.request("/issue/x")) == "server_saturated"
+
+
+def test_own_region_first_then_free_room_elsewhere():
+    shares = region_shares(
+        "north", {"north": 10, "south": 50, "east": 60}, ("north", "south", "east")
+    )
+    assert shares["north"] == 0.25
+    assert abs(sum(shares.values()) - 1.0) < 1e-9
+    assert region_shares("south", {"north": 10, "south": 50}, ())["south"] == 1.0
+
+
+def test_weights_hold_over_any_few_requests():
+    targets = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+    gateway = Gateway(make_routing(make_route(targets=targets)))
+    route = gateway.state.index.find("shop.example:80", "/look/x?y=1")
+    served = Counter(gateway.state.divisions.next(route) for _ in range(50))
+    assert served == {"a": 45, "b": 5}
+
+
+def test_the_longest_prefix_wins_and_hosts_ignore_case_and_port():
+    routing = make_routing(make_route("look"), make_route("deep", prefix="/look/deep/"))
+    index = Gateway(routing).state.index
+    assert index.find("SHOP.example:8080", "/look/deep/x").name == "deep"
+    assert index.find("shop.example", "/look/deeper/x").name == "look"
+    assert index.find("shop.example", "/loo") is None
+    assert index.find("other.example", "/look/x") is None
--- /dev/null
+++ b/tests/gateway/world.py
@@ -0,0 +1,114 @@
+"""Build routing tables, backend servers and requests for tests."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from snipecart.core.ids import Instant
+from snipecart.core.states import EndpointState
+from snipecart.core.states import SendEnd
+from snipecart.gateway.placing.routes import RouteIndex
+from snipecart.gateway.placing.state import Here
+from snipecart.gateway.placing.state import PlacingState
+from snipecart.gateway.placing.state import choose
+from snipecart.gateway.placing.state import note_end
+from snipecart.gateway.placing.state import take_instance
+from snipecart.gateway.request import HttpRequest
+from snipecart.gateway.request import Routed
+from snipecart.gateway.request import Sent
+from snipecart.messages.discovery import Instance
+from snipecart.text.routing import check_routing
+
+REGIONS = ("north", "south")
+
+
+def make_route(name="look", service="racks", **more):
+    """Describe a route as JSON would."""
+    return {
+        "name": name,
+        "host": "shop.example",
+        "prefix": f"/{name}/",
+        "targets": [{"service": service, "weight": 1}],
+        "idempotent": True,
+        "timeout_ms": 1500,
+        "target_latency_ms": 400,
+        "rank": 1,
+        "attempts": 2,
+        "affinity": True,
+        "regions": [],
+        **more,
+    }
+
+
+def make_routing(*routes, version=1, cold_per_s=10.0):
+    """Return a checked routing table whose services the routes name."""
+    names = {target["service"] for route in routes for target in route["targets"]}
+    document = {
+        "version": version,
+        "routes": list(routes),
+        "services": [
+            {
+                "name": name,
+                "health_path": "/health",
+                "max_connections": 100,
+                "cold_ms": 3000,
+                "cold_per_s": cold_per_s,
+            }
+            for name in sorted(names)
+        ],
+    }
+    return check_routing(document).ok
+
+
+def make_instance(number, region="north", service="racks", **more):
+    """Return a backend server."""
+    said = Instance(
+        f"i-{service}-{number}",
+        f"10.0.{len(service)}.{number}:80",
+        service,
+        region,
+        f"{region}-a",
+        4,
+        EndpointState.SERVING,
+        1,
+        1000 + number,
+        0,
+    )
+    return replace(said, **more)
+
+
+class Gateway:
+    """Drive the placing decisions of one gateway with a clock of its own."""
+
+    def __init__(self, routing, region="north", **more):
+        self.now = Instant(100.0)
+        self.state = PlacingState(Here(region, f"{region}-a", REGIONS), **more)
+        self.state.index = RouteIndex(routing)
+        self.count = 0
+
+    def know(self, *instances):
+        """Take backend servers over."""
+        for instance in instances:
+            take_instance(self.state, instance, self.now)
+        return self
+
+    def request(self, path="/look/x", key="7", wait_ms=0):
+        """Return a routed request."""
+        self.count += 1
+        req = HttpRequest(
+            "GET", path, "shop.example", (), b"", f"r{self.count}", key, wait_ms, 0.0
+        )
+        route = self.state.index.find(req.host, req.target)
+        deadline = Instant(self.now + (wait_ms or route.timeout_ms) / 1000)
+        return Routed(req, route, 1, deadline)
+
+    def place(self, routed=None, tried=()):
+        """Return where a request goes, or the reason of its refusal."""
+        routed = routed or self.request()
+        service = self.state.divisions.next(routed.route)
+        chosen = choose(self.state, routed, service, frozenset(tried), self.now)
+        return chosen.ok if chosen.is_ok() else chosen.error.reason
+
+    def end(self, routed, place, end=SendEnd.ANSWERED, seconds=0.2, load=None):
+        """Report how a send ended."""
+        note_end(self.state, routed, place, Sent(end, seconds, None, load), self.now)
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Test the adapter to the first users' platform."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/platform/test_decoders.py
@@ -0,0 +1,172 @@
+"""Test that the platform's messages are decoded whole or refused whole."""
+
+from __future__ import annotations
+
+import ast
+import json
+from copy import deepcopy
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from snipecart.core.states import EndpointState
+from snipecart.platform import names
+from snipecart.platform.manifest import decode_manifest
+from snipecart.platform.reports import decode_departure
+from snipecart.platform.reports import decode_report
+
+REGIONS = {"north-a": "north"}
+
+ROUTE = {
+    "name": "r1",
+    "hostname": "shop.example",
+    "path_prefix": "/look/",
+    "route_type": "safe",
+    "timeout": "1.5s",
+    "target_latency": "400ms",
+    "priority": 1,
+    "weighted_backends": [{"backend": "racks", "weight": 90}],
+    "max_attempts": 2,
+    "session_affinity": True,
+    "allowed_regions": [],
+}
+MANIFEST = {
+    "version": "0000000c",
+    "routes": [ROUTE],
+    "backends": [
+        {
+            "name": "racks",
+            "health_check_path": "/health",
+            "max_connections": 330,
+            "protocol": "h1",
+            "tls": False,
+            "cold_start": "3s",
+            "cold_per_s": 9.7,
+        }
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1024,
+        "header_timeout": "3000ms",
+        "idle_timeout": "15000ms",
+    },
+}
+REPORT = {
+    "address": "10.0.0.1:80",
+    "born": 1_700_000_000_000,
+    "info": {"backend": "racks", "version": "v1", "zone": "north-a", "slots": 9},
+    "status": {"state": "ready", "sequence": 4, "cold_remaining": "1.5s"},
+}
+
+
+def encode(document):
+    return json.dumps(document).encode()
+
+
+def test_a_manifest_becomes_a_routing_table():
+    routing = decode_manifest(encode(MANIFEST)).ok
+    assert routing.version == 12
+    route = routing.routes[0]
+    assert (route.timeout_ms, route.target_latency_ms) == (1500, 400)
+    assert route.idempotent and route.targets[0].service == "racks"
+    assert routing.services[0].cold_ms == 3000
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"weighted_backends": [{"backend": "none", "weight": 1}]},
+        {"timeout": "601s"},
+        {"target_latency": "61.5s"},
+        {"max_attempts": 0},
+        {"route_type": "odd"},
+        {"timeout": 5},
+        {"path_prefix": "look"},
+        {"priority": True},
+    ],
+)
+def test_a_faulty_manifest_is_refused_whole(change):
+    document = {**MANIFEST, "routes": [ROUTE, {**ROUTE, **change}]}
+    assert decode_manifest(encode(document)).is_error()
+
+
+def test_a_manifest_cut_short_is_refused():
+    data = encode(MANIFEST)
+    for end in range(0, len(data), 7):
+        assert decode_manifest(data[:end]).is_error()
+
+
+def test_a_report_becomes_an_instance():
+    said = decode_report("i-1", encode(REPORT), REGIONS).ok
+    assert (said.instance, said.region, said.slots) == ("i-1", "north", 9)
+    assert (said.sequence, said.cold, said.state) == (4, 1500, EndpointState.SERVING)
+
+
+def test_a_departure_needs_no_body():
+    assert decode_departure("i-1", b"").ok.born == 0
+    assert decode_departure("i-1", b'{"born": 5}').ok.born == 5
+    assert decode_departure("i-1", b'{"born": "x"}').is_error()
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+def _paths(document, path=()):
+    if isinstance(document, dict):
+        for key, value in document.items():
+            yield (*path, key)
+            yield from _paths(value, (*path, key))
+    elif isinstance(document, list):
+        for index, value in enumerate(document):
+            yield from _paths(value, (*path, index))
+
+
+def _changed(document, path, value):
+    changed = deepcopy(document)
+    inner = changed
+    for step in path[:-1]:
+        inner = inner[step]
+    inner[path[-1]] = value
+    return changed
+
+
+@settings(max_examples=200, derandomize=True)
+@given(st.sampled_from(sorted(_paths(REPORT))), JSON)
+def test_no_report_breaks_the_decoder(path, value):
+    decode_report("i-1", encode(_changed(REPORT, path, value)), REGIONS)
+
+
+@settings(max_examples=200, derandomize=True)
+@given(st.sampled_from(sorted(_paths(MANIFEST), key=str)), JSON)
+def test_no_manifest_breaks_the_decoder(path, value):
+    decode_manifest(encode(_changed(MANIFEST, path, value)))
+
+
+@settings(max_examples=200, derandomize=True)
+@given(st.binary(max_size=60))
+def test_no_bytes_break_the_decoders(data):
+    decode_report("i-1", data, REGIONS)
+    decode_departure("i-1", data)
+    decode_manifest(data)
+
+
+def test_only_the_adapter_knows_the_platforms_names():
+    said = {
+        value
+        for value in vars(names.HEADERS).values()
+        if isinstance(value, str) and "-" in value
+    }
+    said |= {names.SETTINGS_VARIABLE, names.REPORT, names.PUT_ROUTING, names.EVACUATE}
+    for path in Path("src/snipecart").rglob("*.py"):
+        if "platform" in path.parts:
+            continue
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Constant) and isinstance(node.value, str):
+                assert node.value not in said, f"{path}: {node.value}"
--- a/tests/test_catalogues.py
+++ b/tests/test_catalogues.py
@@ -11,9 +11,10 @@
 from snipecart.core.events import CATALOGUE
 from snipecart.core.message import MESSAGES
 from snipecart.entry import metrics as entry_metrics
+from snipecart.gateway import metrics as gateway_metrics
 from snipecart.wire.codec import SCHEMA
 
-__all__ = ["control_metrics", "entry_metrics"]
+__all__ = ["control_metrics", "entry_metrics", "gateway_metrics"]
 
 
 def rows(page: str) -> list[list[str]]:
