--- /dev/null
+++ b/tests/gateway/scripted.py
@@ -0,0 +1,91 @@
+"""Play a backend server that writes just the bytes a test asks for."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import threading
+from contextlib import contextmanager
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+RESET = b"<reset>"
+"""Ends a connection by a reset."""
+
+CLOSE = b"<close>"
+"""Ends a connection in order."""
+
+
+@dataclass
+class Scripted:
+    """Hold the script of each request and what arrived."""
+
+    scripts: list[list[bytes]]
+    port: int = 0
+    requests: list[bytes] = field(default_factory=list)
+    connections: int = 0
+
+
+def _read_request(conn: socket.socket) -> bytes:
+    data = b""
+    while b"\r\n\r\n" not in data:
+        try:
+            chunk = conn.recv(65536)
+        except ConnectionResetError:
+            return b""
+        if not chunk:
+            return data
+        data += chunk
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = 0
+    for line in head.split(b"\r\n"):
+        if line.lower().startswith(b"content-length:"):
+            length = int(line.partition(b":")[2])
+    while len(body) < length:
+        body += conn.recv(65536)
+    return head + b"\r\n\r\n" + body
+
+
+def _serve(conn: socket.socket, played: Scripted) -> None:
+    with conn:
+        while True:
+            request = _read_request(conn)
+            if not request:
+                return
+            played.requests.append(request)
+            script = played.scripts.pop(0) if played.scripts else [CLOSE]
+            for piece in script:
+                if piece == RESET:
+                    linger = struct.pack("ii", 1, 0)
+                    conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                if piece in (RESET, CLOSE):
+                    return
+                conn.sendall(piece)
+
+
+@contextmanager
+def scripted_server(*scripts: list[bytes]) -> Iterator[Scripted]:
+    """Serve requests by scripts, one after the other, then close."""
+    played = Scripted([list(script) for script in scripts])
+    listener = socket.create_server(("127.0.0.1", 0))
+    played.port = listener.getsockname()[1]
+
+    def accept() -> None:
+        while True:
+            try:
+                conn, _ = listener.accept()
+            except OSError:
+                return
+            played.connections += 1
+            threading.Thread(target=_serve, args=(conn, played), daemon=True).start()
+
+    threading.Thread(target=accept, daemon=True).start()
+    try:
+        yield played
+    finally:
+        listener.shutdown(socket.SHUT_RDWR)
+        listener.close()
--- /dev/null
+++ b/tests/gateway/test_backends.py
@@ -0,0 +1,166 @@
+"""Test that only whole answers to the own request come back, over real sockets."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+import pytest
+
+from snipecart.core.states import SendEnd
+from snipecart.core.task import monotonic
+from snipecart.gateway.backends import BackendConnections
+from snipecart.gateway.request import Cancellation
+from snipecart.gateway.request import HeaderNames
+from snipecart.gateway.request import HttpRequest
+from snipecart.gateway.request import Place
+from snipecart.gateway.request import Routed
+
+from .scripted import CLOSE
+from .scripted import RESET
+from .scripted import scripted_server
+from .world import make_route
+from .world import make_routing
+
+NAMES = HeaderNames()
+ROUTE = make_routing(make_route()).routes[0]
+
+
+def answer(body=b"whole", request="r1", length=None, more=b""):
+    length = len(body) if length is None else length
+    head = b"HTTP/1.1 200 Fine\r\nContent-Length: %d\r\n" % length
+    return (
+        head
+        + b"Snipecart-Request: "
+        + request.encode()
+        + b"\r\n"
+        + more
+        + (b"\r\n" + body)
+    )
+
+
+def make_routed(seconds=1.0, method="GET", body=b"", headers=()):
+    now = monotonic()
+    req = HttpRequest(
+        method,
+        "/look/a%2Fb?c=%20",
+        "h",
+        headers,
+        body,
+        "r1",
+        "7",
+        0,
+        now,
+        Cancellation(),
+    )
+    return Routed(req, ROUTE, 1, now + seconds)
+
+
+def send(played, routed=None, backends=None):
+    place = Place("racks", "i-1", "127.0.0.1", played.port, 0)
+    backends = backends or BackendConnections("127.0.0.1", NAMES)
+    return backends.send(routed or make_routed(), place)
+
+
+def test_a_request_goes_out_as_it_came_and_its_answer_comes_back_whole():
+    with scripted_server(
+        [answer(more=b"X-Own: 1\r\nConnection: x-hop\r\nX-Hop: 2\r\n")]
+    ) as played:
+        headers = (("Host", "shop.example"), ("X-One", "1"))
+        sent = send(played, make_routed(method="POST", body=b"abc", headers=headers))
+    assert sent.end is SendEnd.ANSWERED
+    assert (sent.answer.status, sent.answer.body) == (200, b"whole")
+    names = {name for name, _ in sent.answer.headers}
+    assert "X-Own" in names and not names & {"X-Hop", "Connection", "Content-Length"}
+    head, _, body = played.requests[0].partition(b"\r\n\r\n")
+    lines = head.split(b"\r\n")
+    assert lines[0] == b"POST /look/a%2Fb?c=%20 HTTP/1.1"
+    assert body == b"abc"
+    sent_names = {line.partition(b":")[0].lower() for line in lines[1:]}
+    assert sent_names == {
+        b"host",
+        b"x-one",
+        b"content-length",
+        b"snipecart-deadline-ms",
+        b"snipecart-instance",
+    }
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        [answer(length=50), CLOSE],
+        [answer(length=50), RESET],
+        [b"HTTP/1.1 200 Fine\r\n\r\nhalf", RESET],
+        [b"no answer at all\r\n\r\n", CLOSE],
+        [CLOSE],
+        [RESET],
+        [answer(request="other"), CLOSE],
+        [b"HTTP/1.1 200 Fine\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", CLOSE],
+        [b"HTTP/1.1 200 Fine\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab", CLOSE],
+    ],
+)
+def test_what_is_not_whole_or_not_the_own_answer_is_broken(script):
+    with scripted_server(script) as played:
+        sent = send(played)
+    assert (sent.end, sent.answer) == (SendEnd.BROKEN, None)
+
+
+def test_an_answer_without_length_is_whole_at_an_orderly_close():
+    with scripted_server([b"HTTP/1.1 200 Fine\r\n\r\nall of it", CLOSE]) as played:
+        sent = send(played)
+    assert sent.answer.body == b"all of it"
+
+
+def test_an_answer_to_an_earlier_request_is_passed_over():
+    with scripted_server([answer(b"old", "r0"), answer(b"own")]) as played:
+        sent = send(played)
+    assert sent.answer.body == b"own"
+
+
+def test_connections_are_kept_unless_stray_bytes_follow_an_answer():
+    backends = BackendConnections("127.0.0.1", NAMES)
+    with scripted_server(
+        [answer()], [answer(), answer(b"stray")], [answer()]
+    ) as played:
+        for _ in range(2):
+            assert send(played, backends=backends).answer.body == b"whole"
+        assert played.connections == 1
+        time.sleep(0.1)
+        assert send(played, backends=backends).answer.body == b"whole"
+        assert played.connections == 2
+    backends.close()
+
+
+def test_a_refused_connection_means_that_nothing_was_sent():
+    with scripted_server() as played:
+        pass
+    assert send(played).end is SendEnd.NOT_SENT
+
+
+def test_rejections_say_so_and_tell_the_load():
+    head = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\nSnipecart-Load: 3,2,4\r\n"
+    with scripted_server([head + b"Snipecart-Not-Run: 1\r\n\r\n"]) as played:
+        sent = send(played)
+    assert (sent.end, sent.load) == (SendEnd.REJECTED, (3, 2, 4))
+    with scripted_server([head + b"\r\n"]) as played:
+        assert send(played).end is SendEnd.ANSWERED
+
+
+def test_silence_ends_at_the_deadline():
+    with scripted_server([b""]) as played:
+        began = time.monotonic()
+        sent = send(played, make_routed(seconds=0.3))
+    assert sent.end is SendEnd.TIMED_OUT
+    assert 0.2 < time.monotonic() - began < 0.6
+
+
+def test_a_cancelled_request_frees_its_worker_at_once():
+    routed = make_routed(seconds=20.0)
+    with scripted_server([b""]) as played:
+        timer = threading.Timer(0.2, routed.req.cancellation.cancel)
+        timer.start()
+        began = time.monotonic()
+        sent = send(played, routed)
+    assert sent.end is SendEnd.CANCELLED
+    assert time.monotonic() - began < 5.0
