Drain a gateway before its readiness page goes, and test the programs as processes

Cause: the readiness listener and the metrics closed before the gateway began to leave, so a stopped process counted as ready for seconds and look-ups kept naming it. Found by the process test of a planned stop, which failed first. A second finding of these tests: an answer of 8 ms against a usual 3 ms counted as slow; a delay now has to pass 50 ms to say anything. Change: tasks, readiness and taking requests are three contexts, the last ends first.

--- a/src/snipecart/gateway/factory.py
+++ b/src/snipecart/gateway/factory.py
@@ -48,6 +48,7 @@
     placing: PlacingTask
     sync: SyncTask
     watch: WatchTask
+    backends: BackendConnections
 
 
 def make_gateway(cfg: GatewaySettings) -> Gateway:
@@ -70,21 +71,30 @@
 
 
 @contextmanager
-def gateway_program(cfg: GatewaySettings, names: HeaderNames) -> Iterator[GatewayTasks]:
-    """Run a gateway until the block ends, then drain it."""
+def gateway_tasks(cfg: GatewaySettings, names: HeaderNames) -> Iterator[GatewayTasks]:
+    """Own a gateway's tasks and its connections to backend servers."""
     backends = BackendConnections(cfg.host, names)
     placing = PlacingTask(make_placing_state(cfg), backends.forget)
     sync = SyncTask(make_gateway(cfg), cfg.control, cfg.host, placing)
     watch = WatchTask()
-    ctx = GatewayContext(placing, backends, Random())
-    source = GatewaySource(make_pipeline(ctx), names, watch, placing)
+    with running(placing, watch, sync):
+        yield GatewayTasks(placing, sync, watch, backends)
+    backends.close()
+
+
+@contextmanager
+def taking_requests(
+    cfg: GatewaySettings, names: HeaderNames, tasks: GatewayTasks
+) -> Iterator[None]:
+    """Take requests until the block ends, then drain."""
+    ctx = GatewayContext(tasks.placing, tasks.backends, Random())
+    source = GatewaySource(make_pipeline(ctx), names, tasks.watch, tasks.placing)
     listener = HttpListener(cfg.host, cfg.port, cfg.threads)
-    with running(placing, watch, sync), serving_requests(listener, source) as server:
-        yield GatewayTasks(placing, sync, watch)
+    with serving_requests(listener, source) as server:
+        yield
         source.draining = True
-        sync.post(SetLeaving())
+        tasks.sync.post(SetLeaving())
         drain(server, cfg.linger_s, cfg.stop_s)
-    backends.close()
 
 
 def drain(server: HTTPServer, linger: float, limit: float) -> None:
--- a/src/snipecart/gateway/placing/state.py
+++ b/src/snipecart/gateway/placing/state.py
@@ -60,6 +60,9 @@
 ORDERS_KEPT = 4096
 """Orders of backend servers remembered between two changes of them."""
 
+LEAST_DELAY = 0.05
+"""Seconds over the usual time below which an answer says nothing of slowness."""
+
 MISDIRECTED_EJECTION = 5.0
 """Seconds until an address that answered for another run is tried again."""
 
@@ -333,6 +336,8 @@
         return 1.0
     usual = state.usual.setdefault(route.name, sent.seconds)
     state.usual[route.name] = usual + USUAL_STEP * (sent.seconds - usual)
+    if sent.seconds < usual + LEAST_DELAY:
+        return min(1.0, sent.seconds / usual) if usual > 0 else 1.0
     return sent.seconds / usual if usual > 0 else 1.0
 
 
--- a/src/snipecart/platform/__main__.py
+++ b/src/snipecart/platform/__main__.py
@@ -68,12 +68,14 @@
 
 @contextmanager
 def _entry(given: PlatformSettings, cfg: Any) -> Iterator[None]:
-    from ..gateway.factory import gateway_program
+    from ..gateway.factory import gateway_tasks
+    from ..gateway.factory import taking_requests
 
     with (
-        gateway_program(cfg, names.HEADERS) as tasks,
+        gateway_tasks(cfg, names.HEADERS) as tasks,
         _serving(given, "readiness", READY_THREADS, _ready_app(tasks)),
         _metrics(given),
+        taking_requests(cfg, names.HEADERS, tasks),
     ):
         yield
 
--- /dev/null
+++ b/tests/platform/fleet.py
@@ -0,0 +1,248 @@
+"""Run the programs with the platform's settings on loopback, and play what it has."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from contextlib import ExitStack
+from contextlib import contextmanager
+from http.server import BaseHTTPRequestHandler
+from http.server import ThreadingHTTPServer
+from typing import TYPE_CHECKING
+from typing import Any
+
+import urllib3
+from bench.fleet import wait_for
+from urllib3.exceptions import HTTPError
+
+from snipecart.platform import names
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+INNER, CONTROL, DIRECTORY, FRONT, READY = 7720, 8166, 8164, 8161, 8167
+ZONES = {"north-a": "north", "south-a": "south"}
+
+SETTINGS = """
+node_name = "{name}"
+ip = "{host}"
+zone = "{zone}"
+region = "{region}"
+internal_port_range = [{inner},{last}]
+seed_nodes = [{seeds}]
+bootstrap = {bootstrap}
+data_dir = "{data}"
+heartbeat_interval = "500ms"
+bounds = ["grace=4s","retry_budget_ratio=0.2","budget_window=10s","budget_slack=58"]
+[zones]
+{zones}
+[listen_addrs]
+control = "{host}:{control}"
+directory = "{host}:{directory}"
+front = "{host}:{front}"
+readiness = "{host}:{ready}"
+"""
+
+
+class Backend:
+    """Play one run of a backend server, and note what reaches it."""
+
+    def __init__(self, host: str, number: int, service: str, zone: str) -> None:
+        self.address = f"{host}:{9000 + number}"
+        self.name, self.service, self.zone = f"i-{number}", service, zone
+        self.born, self.sequence = int(time.time() * 1000), 0
+        self.seen: list[tuple[float, str]] = []
+        self.ended: list[str] = []
+        self.seconds = 0.0
+        self.server = ThreadingHTTPServer((host, 9000 + number), self._handler())
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def report(self, state: str = "ready") -> bytes:
+        """Return what it says of itself next."""
+        self.sequence += 1
+        info = {"backend": self.service, "zone": self.zone, "slots": 9, "version": "v"}
+        status = {"state": state, "sequence": self.sequence, "cold_remaining": "0ms"}
+        said = {"address": self.address, "born": self.born}
+        return json.dumps({**said, "info": info, "status": status}).encode()
+
+    def close(self) -> None:
+        """Stop taking requests."""
+        self.server.shutdown()
+        self.server.server_close()
+
+    def _handler(self) -> type[BaseHTTPRequestHandler]:
+        backend = self
+
+        class Handler(BaseHTTPRequestHandler):
+            """Answer requests that are meant for this run."""
+
+            protocol_version = "HTTP/1.1"
+
+            def do_GET(self) -> None:
+                """Note a request, work, and answer."""
+                length = int(self.headers.get("Content-Length") or 0)
+                body = self.rfile.read(length)
+                if self.headers["Expect-Instance"] != backend.name:
+                    self._answer(421, b"", ("Not-Executed", "1"))
+                    return
+                request = self.headers["Request-Id"]
+                backend.seen.append((time.monotonic(), request))
+                time.sleep(backend.seconds)
+                self._answer(200, self.path.encode() + b"|" + body)
+                backend.ended.append(request)
+
+            do_POST = do_GET
+
+            def _answer(self, status: int, body: bytes, *more: tuple[str, str]) -> None:
+                self.send_response(status)
+                request = self.headers["Request-Id"]
+                for name, value in (
+                    ("Content-Length", str(len(body))),
+                    ("Request-Id", request),
+                    ("Server-Signature", f"{backend.name}.{request}"),
+                    *more,
+                ):
+                    self.send_header(name, value)
+                self.end_headers()
+                self.wfile.write(body)
+
+            def log_message(self, *args: Any) -> None:
+                """Log nothing."""
+
+        return Handler
+
+
+class PlatformFleet:
+    """Own control and entry processes on one loopback network."""
+
+    def __init__(self, folder: Path, net: str) -> None:
+        self.folder, self.net = folder, net
+        self.processes: dict[str, subprocess.Popen] = {}
+        follow = urllib3.Retry(
+            2, connect=0, read=0, status=0, other=0, respect_retry_after_header=False
+        )
+        self.pool = urllib3.PoolManager(retries=follow, timeout=3.0, maxsize=8)
+        self.count = 0
+
+    def host(self, name: str) -> str:
+        """Return a machine's address."""
+        kind, _, number = name.partition("-")
+        return f"{self.net}.{1 if kind == 'control' else 2}.{number}"
+
+    def start(self, name: str, *, bootstrap: bool = True) -> None:
+        """Start a program with the settings the platform would give it."""
+        kind, _, number = name.partition("-")
+        zone = list(ZONES)[int(number) % 2]
+        seeds = ",".join(f'"{self.net}.1.{at}:{CONTROL}"' for at in (1, 2, 3))
+        path = self.folder / f"{name}.toml"
+        path.write_text(
+            SETTINGS.format(
+                name=name,
+                host=self.host(name),
+                zone=zone,
+                region=ZONES[zone],
+                inner=INNER,
+                last=INNER + 15,
+                seeds=seeds,
+                bootstrap=str(bootstrap).lower(),
+                data=self.folder / "data" / name,
+                zones="\n".join(f'{key} = "{value}"' for key, value in ZONES.items()),
+                control=CONTROL,
+                directory=DIRECTORY,
+                front=FRONT,
+                ready=READY,
+            )
+        )
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "snipecart.platform", kind],
+                env={**os.environ, names.SETTINGS_VARIABLE: str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def kill(self, name: str, number: int = signal.SIGKILL) -> None:
+        """End a process and wait for it."""
+        self.processes[name].send_signal(number)
+        self.processes.pop(name).wait(20)
+
+    def log(self, name: str) -> list[dict[str, Any]]:
+        """Return a process's log lines."""
+        lines = (self.folder / f"{name}.log").read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def call(self, method: str, name: str, path: str, body: bytes = b"") -> Any:
+        """Call a control process; return the answer, or None."""
+        url = f"http://{self.host(name)}:{CONTROL}{path}"
+        try:
+            return self.pool.request(method, url, body=body, redirect=True)
+        except HTTPError:
+            return None
+
+    def control(self, method: str, path: str, body: bytes = b"") -> int:
+        """Call control processes until one gives a clear answer."""
+        for _ in range(60):
+            for name in [item for item in self.processes if "control" in item]:
+                answer = self.call(method, name, path, body)
+                if answer is not None and answer.status // 100 in (2, 4):
+                    return answer.status
+            time.sleep(0.2)
+        return 0
+
+    def report(self, backend: Backend, state: str = "ready") -> int:
+        """Send a backend server's report until it is acknowledged."""
+        path = names.REPORT + backend.name
+        return self.control("POST", path, backend.report(state))
+
+    def is_ready(self, name: str) -> bool:
+        """Say whether a gateway counts as ready."""
+        url = f"http://{self.host(name)}:{READY}{names.READY}"
+        try:
+            return self.pool.request("GET", url).status == 200
+        except HTTPError:
+            return False
+
+    def request(
+        self, name: str, path: str = "/look/x", method: str = "GET", **more: Any
+    ) -> Any:
+        """Send a client's request to a gateway."""
+        self.count += 1
+        headers = {
+            "Host": "shop.example",
+            "Request-Id": f"q{self.count}",
+            "Affinity-Key": "7",
+            "Deadline-Ms": "3000",
+            **more.pop("headers", {}),
+        }
+        url = f"http://{self.host(name)}:{FRONT}{path}"
+        return self.pool.request(method, url, headers=headers, **more)
+
+
+@contextmanager
+def platform_fleet(
+    folder: Path, net: str, controls: int = 3, entries: int = 2
+) -> Iterator[PlatformFleet]:
+    """Run a fleet until the block ends."""
+    fleet = PlatformFleet(folder, net)
+    with ExitStack() as stack:
+        stack.callback(_end_all, fleet)
+        for at in range(1, controls + 1):
+            fleet.start(f"control-{at}")
+        for at in range(1, entries + 1):
+            fleet.start(f"entry-{at}")
+        yield fleet
+
+
+def _end_all(fleet: PlatformFleet) -> None:
+    for process in fleet.processes.values():
+        process.kill()
+        process.wait(20)
+
+
+__all__ = ["Backend", "PlatformFleet", "platform_fleet", "wait_for"]
