Take newer settings over at SIGHUP, and tell failing servers from full ones

And a server that sheds a part of its requests was taken for full: where all do so, everything was refused. Ruled out: watching the file, as nothing but the seeds may change. Change: SIGHUP reads the settings again and hands the seeds on. A rejection that comes with a load report counts as what that says; servers that fail in part are left alone only while most others are sound.

--- a/src/snipecart/control/factory.py
+++ b/src/snipecart/control/factory.py
@@ -19,6 +19,7 @@
 from ..core.task import monotonic
 from ..core.task import running
 from ..messages.commands import Node
+from ..messages.raft import JoinAnswer
 from ..wire.codec import Framed
 from ..wire.links import Link
 from ..wire.links import Listener
@@ -93,10 +94,14 @@
 
 
 class Links:
-    """Keep a link to the VM of each other control process."""
+    """Keep a link to the VM of each other control process.
+
+    ``seeds`` are those that the settings name; they may be replaced at any time.
+    """
 
     def __init__(self, cfg: ControlSettings) -> None:
         self._cfg = cfg
+        self.seeds = founders(cfg)
         self._links: dict[VmName, Link] = {}
         self._nodes: dict[VmName, Node] = {}
         self.sink: Callable[[Framed], Any] = _ignore
@@ -104,7 +109,7 @@
 
     def relink(self, nodes: tuple[Node, ...]) -> None:
         """Open links to the VMs of the settings and of the log's members."""
-        wanted = {node.vm: node for node in (*founders(self._cfg), *nodes)}
+        wanted = {node.vm: node for node in (*self.seeds, *nodes)}
         wanted.pop(self._cfg.vm, None)
         for vm in set(self._links) - set(wanted):
             self._links.pop(vm).stop(0.0)
@@ -165,6 +170,12 @@
 
     node: NodeTask
     discovery: DiscoveryTask
+    links: Links
+
+    def reseed(self, cfg: ControlSettings) -> None:
+        """Take over the control processes that newer settings name."""
+        self.links.seeds = founders(cfg)
+        self.node.post(Received(JoinAnswer(self.links.seeds), _ignore))
 
     def post(self, received: Received) -> bool:
         """Hand a peer's message to the task that handles it."""
@@ -189,7 +200,7 @@
         )
         discovery = DiscoveryTask(cfg.vm, partial(links.send, EVERYONE))
         node = make_node(cfg, recovered.ok, links, disk.post, discovery)
-        tasks = ControlTasks(node, discovery)
+        tasks = ControlTasks(node, discovery, links)
         links.sink = lambda framed: tasks.post(Received(framed.message, _ignore))
         links.relink(tuple(node.state.peers))
         node.publish()
--- a/src/snipecart/gateway/placing/server.py
+++ b/src/snipecart/gateway/placing/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
 from ...core.ids import Instant
@@ -74,14 +73,13 @@
     failures: int = 0
     ejections: int = 0
     ejected_until: Instant = Instant(0.0)
+    grey_until: Instant = Instant(0.0)
     failing: float = 0.0
     """Moving average of failed sends."""
     slowness: float = 1.0
     """Moving average of time against the usual time."""
     slow_seen: Instant = Instant(-1e9)
     bucket: TokenBucket | None = None
-    gone: bool = False
-    tried: int = field(default=0)
 
     @property
     def slots(self) -> int:
@@ -97,6 +95,10 @@
         """Say whether it is left alone for its failures."""
         return now < self.ejected_until
 
+    def is_grey(self, now: Instant) -> bool:
+        """Say whether it lately failed a part of its requests."""
+        return now < self.grey_until
+
     def is_slow(self, now: Instant) -> bool:
         """Say whether it lately took much longer than usual."""
         return self.slowness > SLOW_RATIO and now < self.slow_seen + SLOW_MEMORY
@@ -111,8 +113,11 @@
         self.others = max(0.0, running + waiting - self.sending)
         self.reported = now
 
-    def note_end(self, end: SendEnd, ratio: float, now: Instant) -> None:
-        """Learn from how a send ended; ``ratio`` is its time against the usual."""
+    def note_end(self, end: SendEnd, ratio: float, told: bool, now: Instant) -> None:
+        """Learn from how a send ended; ``ratio`` is its time against the usual.
+
+        A rejection without a load report (``told``) counts as a full server.
+        """
         if end is SendEnd.CANCELLED:
             return
         failed = end in FAILED_ENDS or end is SendEnd.REJECTED
@@ -121,14 +126,14 @@
             self.failures = 0
             self.ejections = 0
             self._note_time(ratio, now)
-        elif end is SendEnd.REJECTED:
+        elif end is SendEnd.REJECTED and not told:
             self.others = max(self.others, self.slots + 1.0)
             self.reported = now
         elif end in FAILED_ENDS:
             self._note_failure(end, now)
         if self.failing > GREY_RATE and not self.is_ejected(now):
             self.failing = GREY_RATE / 2
-            self.ejected_until = Instant(now + GREY_EJECTION)
+            self.grey_until = Instant(now + GREY_EJECTION)
 
     def _note_time(self, ratio: float, now: Instant) -> None:
         self.slowness += RATE_STEP * (ratio - self.slowness)
--- a/src/snipecart/gateway/placing/state.py
+++ b/src/snipecart/gateway/placing/state.py
@@ -57,6 +57,9 @@
 COLD_BURST = 1.0
 """Requests that a gateway may send a cold backend server at once."""
 
+LEAST_SOUND = 0.6
+"""Part of the servers that must be sound for the others to be left alone."""
+
 ORDERS_KEPT = 4096
 """Orders of backend servers remembered between two changes of them."""
 
@@ -185,7 +188,7 @@
     servers = _candidates(state, routed, service, tried)
     if not servers:
         return Error(NoEndpoint(service))
-    sound = [item for item in servers if not item.is_ejected(now)] or servers
+    sound = _leave_out_failing(servers, now)
     for accepts in (_has_room_at_speed, _has_room):
         for item in sound:
             if accepts(item, now) and _bears(state, item, service, now):
@@ -193,6 +196,13 @@
     return _queue(state, routed, service, sound, now)
 
 
+def _leave_out_failing(servers: list[Server], now: Instant) -> list[Server]:
+    """Drop ejected servers, and those that fail in part if most others don't."""
+    up = [item for item in servers if not item.is_ejected(now)] or servers
+    sound = [item for item in up if not item.is_grey(now)]
+    return sound if len(sound) > len(up) * LEAST_SOUND else up
+
+
 def _candidates(
     state: PlacingState,
     routed: Routed,
@@ -314,7 +324,7 @@
     server.sending = max(0, server.sending - 1)
     ratio = _note_time(state, routed.route, place, sent)
     was_ejected = server.is_ejected(now)
-    server.note_end(sent.end, ratio, now)
+    server.note_end(sent.end, ratio, sent.load is not None, now)
     if sent.load is not None:
         server.note_load(sent.load, now)
     if sent.end is SendEnd.MISDIRECTED:
--- a/src/snipecart/gateway/sync.py
+++ b/src/snipecart/gateway/sync.py
@@ -46,6 +46,13 @@
     """Tell all control processes that this gateway leaves."""
 
 
+@dataclass(frozen=True)
+class SetSeeds:
+    """Name other control processes to begin with."""
+
+    seeds: tuple[ControlPeer, ...]
+
+
 @dataclass(frozen=True)
 class FromPeer:
     """Hold what a control process sent."""
@@ -79,7 +86,7 @@
         self.gateway = gateway
         self.leaving = False
         self.complete = False
-        self._seeds = {peer.vm: (peer.host, peer.port) for peer in seeds}
+        self._seeds = _addresses(seeds)
         self._host, self._placing = host, placing
         self._peers: dict[VmName, Peer] = {}
         self._followed = VmName("")
@@ -114,6 +121,8 @@
             if isinstance(message, SetLeaving):
                 self.leaving = True
                 self._due = now
+            elif isinstance(message, SetSeeds):
+                self._seeds = _addresses(message.seeds)
             elif isinstance(message, FromPeer):
                 self._take(message, now)
         if now >= self._due:
@@ -205,5 +214,9 @@
         self.post(FromPeer(vm, framed.message))
 
 
+def _addresses(seeds: tuple[ControlPeer, ...]) -> dict[VmName, tuple[str, int]]:
+    return {peer.vm: (peer.host, peer.port) for peer in seeds}
+
+
 def _answers(peer: Peer, now: Instant) -> bool:
     return now < peer.answered + ANSWERS_FOR
--- a/src/snipecart/platform/__main__.py
+++ b/src/snipecart/platform/__main__.py
@@ -4,12 +4,15 @@
 
 import sys
 from contextlib import contextmanager
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
 
 import click
 from prometheus_client import make_wsgi_app
 
+from ..core.events import SETTINGS_REFUSED
+from ..core.events import emit
 from ..program.http import make_wsgi_server
 from ..program.http import running_server
 from ..program.listener import HttpListener
@@ -66,10 +69,27 @@
     sys.exit(_run("entry", lambda: _entry(given, cfg)))
 
 
+@dataclass(frozen=True)
+class Reloading:
+    """Read the settings file again and hand what may change to the tasks."""
+
+    translate: Callable[[PlatformSettings], Any]
+    hand_on: Callable[[Any], Any]
+
+    def reload(self) -> None:
+        """Take over newer settings; malformed ones change nothing."""
+        own = load_platform_settings().bind(self.translate)
+        if own.is_error():
+            emit(SETTINGS_REFUSED, faults=describe(own.error))
+            return
+        self.hand_on(own.ok)
+
+
 @contextmanager
-def _entry(given: PlatformSettings, cfg: Any) -> Iterator[None]:
+def _entry(given: PlatformSettings, cfg: Any) -> Iterator[Reloading]:
     from ..gateway.factory import gateway_tasks
     from ..gateway.factory import taking_requests
+    from ..gateway.sync import SetSeeds
 
     with (
         gateway_tasks(cfg, names.HEADERS) as tasks,
@@ -77,7 +97,9 @@
         _metrics(given),
         taking_requests(cfg, names.HEADERS, tasks),
     ):
-        yield
+        yield Reloading(
+            gateway_settings, lambda own: tasks.sync.post(SetSeeds(own.control))
+        )
 
 
 def _ready_app(tasks: GatewayTasks) -> Any:
@@ -100,7 +122,7 @@
 
 
 @contextmanager
-def _control(given: PlatformSettings, cfg: Any) -> Iterator[None]:
+def _control(given: PlatformSettings, cfg: Any) -> Iterator[Reloading]:
     from ..control.disk.store import found_if_blank
     from ..control.factory import control_tasks
     from ..control.factory import founders
@@ -118,7 +140,7 @@
             _serving(given, "directory", LOOKUP_THREADS, app),
             _metrics(given),
         ):
-            yield
+            yield Reloading(control_settings, tasks.ok.reseed)
 
 
 @contextmanager
--- a/src/snipecart/program/run.py
+++ b/src/snipecart/program/run.py
@@ -8,6 +8,7 @@
 import sys
 import threading
 from contextlib import contextmanager
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -17,6 +18,7 @@
 from ..core.events import PROGRAM_STARTED
 from ..core.events import PROGRAM_STOPPED
 from ..core.events import PROGRAM_STOPPING
+from ..core.events import SETTINGS_RELOADED
 from ..core.events import STOP_FORCED
 from ..core.events import emit
 from ..core.task import FAILED
@@ -75,20 +77,29 @@
         yield
 
 
+@dataclass(frozen=True)
+class Signals:
+    """Hold what the process was told from outside."""
+
+    stop: threading.Event
+    reload: threading.Event
+
+
 @contextmanager
-def stop_signal() -> Iterator[threading.Event]:
-    """Yield an event that SIGTERM and SIGINT set."""
-    stop = threading.Event()
+def signals() -> Iterator[Signals]:
+    """Yield events that SIGTERM and SIGINT, and SIGHUP, set."""
+    told = Signals(threading.Event(), threading.Event())
 
     def on_signal(number: int, frame: Any) -> None:
-        stop.set()
+        event = told.reload if number == signal.SIGHUP else told.stop
+        event.set()
 
     before = {
         number: signal.signal(number, on_signal)
-        for number in (signal.SIGTERM, signal.SIGINT)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     }
     try:
-        yield stop
+        yield told
     finally:
         for number, handler in before.items():
             signal.signal(number, handler)
@@ -106,20 +117,32 @@
     timer.start()
 
 
+def _reload(name: str, running: Any) -> None:
+    reload = getattr(running, "reload", None)
+    if reload is not None:
+        reload()
+    emit(SETTINGS_RELOADED, program=name, taken=reload is not None)
+
+
 def run_until_stopped(
     name: str,
     level: str,
     body: Callable[..., Any],
     log_format: LogFormat = LogFormat.TEXT,
 ) -> int:
-    """Run a program's body, a context manager that may drain at its end."""
+    """Run a program's body, a context manager that may drain at its end.
+
+    On SIGHUP the body's ``reload`` is called, if it yields something that has one.
+    """
     sys.setswitchinterval(SWITCH_INTERVAL)
     logging = logging_json if log_format is LogFormat.JSON else logging_to_stderr
-    with logging(level), stop_signal() as stop:
-        with body():
+    with logging(level), signals() as told:
+        with body() as running:
             emit(PROGRAM_STARTED, program=name)
-            while not stop.wait(FAILURE_LOOK) and not FAILED.is_set():
-                pass
+            while not told.stop.wait(FAILURE_LOOK) and not FAILED.is_set():
+                if told.reload.is_set():
+                    told.reload.clear()
+                    _reload(name, running)
             emit(PROGRAM_STOPPING, program=name)
             _exit_after(STOP_LIMIT, name)
         emit(PROGRAM_STOPPED, program=name)
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -136,6 +136,30 @@
     assert gateway.place().instance == first.instance
 
 
+def reject(gateway, routed, place):
+    gateway.end(routed, place, SendEnd.REJECTED, load=(1, 0, 4))
+
+
+def test_a_server_that_sheds_in_part_is_left_alone_while_others_are_sound():
+    gateway = Gateway(ONE).know(*(make_instance(number) for number in range(4)))
+    grey = gateway.place().instance
+    for _ in range(8):
+        routed = gateway.request()
+        place = gateway.place(routed)
+        if place.instance == grey:
+            reject(gateway, routed, place)
+    assert gateway.place().instance != grey
+
+
+def test_servers_that_all_shed_in_part_still_get_requests():
+    gateway = Gateway(ONE).know(*(make_instance(number) for number in range(4)))
+    for turn in range(60):
+        routed = gateway.request(key=str(turn))
+        reject(gateway, routed, gateway.place(routed))
+    places = [gateway.place(gateway.request(key=str(turn))) for turn in range(12)]
+    assert not any(isinstance(place, str) for place in places)
+
+
 def test_a_slow_server_loses_its_objects():
     gateway = Gateway(ONE).know(*(make_instance(number) for number in range(4)))
     for key in map(str, range(60)):
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -212,6 +212,20 @@
     assert answer.status == 200
 
 
+def test_changed_settings_are_taken_over_at_a_signal_and_nothing_stops(fleet):
+    for name in ("control-2", "entry-1"):
+        path = fleet.folder / f"{name}.toml"
+        seeds = path.read_text().replace(f"{NET}.1.3:", f"{NET}.1.4:")
+        path.write_text(seeds)
+        fleet.processes[name].send_signal(signal.SIGHUP)
+        wait_for(
+            lambda name=name: any(line["event"] == 1008 for line in fleet.log(name)),
+            5.0,
+        )
+        assert fleet.processes[name].poll() is None
+    assert fleet.request("entry-1").status == 200
+
+
 def test_a_planned_stop_cuts_no_request_off(fleet):
     for backend in fleet.backends:
         backend.seconds = 0.8
