Refuse requests late in a drain, and never take a head cut short for a whole one

Ruled out: draining longer, as the grace bounds it. A connection that ends inside a head is broken; a success must name the request it answers.

--- a/src/snipecart/core/states.py
+++ b/src/snipecart/core/states.py
@@ -107,6 +107,15 @@
     LEAVING = "leaving"
 
 
+class Intake(StrEnum):
+    """Say which requests a gateway takes."""
+
+    OPEN = "open"
+    LINGERING = "lingering"
+    """Takes requests, and asks clients to go elsewhere for the next."""
+    CLOSED = "closed"
+
+
 class Freshness(StrEnum):
     """Say whether a quorum has lately confirmed the text a member holds."""
 
--- a/src/snipecart/gateway/backends.py
+++ b/src/snipecart/gateway/backends.py
@@ -223,7 +223,7 @@
         kept = _usable(raw, conn.sock)
         for _ in range(EXTRA_ANSWERS):
             said = raw.getheader(self._names.request)
-            if said is None or said == routed.req.request:
+            if said == routed.req.request or (said is None and raw.status >= 300):
                 return _whole(raw, body), kept
             conn.sock.settimeout(max(0.001, routed.remaining() - MARGIN))
             raw = http.client.HTTPResponse(conn.sock, method=routed.req.method)
--- a/src/snipecart/gateway/factory.py
+++ b/src/snipecart/gateway/factory.py
@@ -11,6 +11,7 @@
 
 from ..core.ids import EndpointId
 from ..core.ids import MemberId
+from ..core.states import Intake
 from ..core.states import MemberState
 from ..core.task import monotonic
 from ..core.task import running
@@ -92,16 +93,17 @@
     listener = HttpListener(cfg.host, cfg.port, cfg.threads)
     with serving_requests(listener, source) as server:
         yield
-        source.draining = True
+        source.intake = Intake.LINGERING
         tasks.sync.post(SetLeaving())
-        drain(server, cfg.linger_s, cfg.stop_s)
+        threading.Event().wait(cfg.linger_s)
+        source.intake = Intake.CLOSED
+        finish(server, cfg.stop_s - cfg.linger_s)
 
 
-def drain(server: HTTPServer, linger: float, limit: float) -> None:
-    """Take requests until clients have moved on, then let the last ones end."""
+def finish(server: HTTPServer, limit: float) -> None:
+    """Wait until the requests that were taken have ended."""
     began = monotonic()
     pause = threading.Event()
-    pause.wait(linger)
     while monotonic() < began + limit:
         pool = server.requests
         if pool.idle >= len(pool._threads) and not pool.qsize:
--- a/src/snipecart/gateway/reader.py
+++ b/src/snipecart/gateway/reader.py
@@ -12,6 +12,10 @@
 RECEIVE_SIZE = 65_536
 
 
+class CutShort(ConnectionError):
+    """Report a connection that ended in the middle of an answer's head."""
+
+
 class KeptReader(io.BufferedIOBase):
     """Buffer a socket's bytes over many answers; closing it does nothing."""
 
@@ -42,7 +46,10 @@
         return taken
 
     def readline(self, size: int | None = -1) -> bytes:
-        """Read up to a line's end, at most ``size`` bytes."""
+        """Read up to a line's end, at most ``size`` bytes; raise CutShort at the end.
+
+        A head that ends in its middle must not pass for a whole one.
+        """
         most = -1 if size is None else size
         while True:
             end = self._held.find(b"\n") + 1
@@ -51,7 +58,7 @@
             if 0 <= most <= len(self._held):
                 return self._take(most)
             if not self._fill():
-                return self._take(len(self._held))
+                raise CutShort
 
     def read(self, size: int | None = -1) -> bytes:
         """Read ``size`` bytes, or all until the peer closes."""
--- a/src/snipecart/gateway/server.py
+++ b/src/snipecart/gateway/server.py
@@ -22,8 +22,10 @@
 from ..core.failures import BodyTooLarge
 from ..core.failures import Category
 from ..core.failures import ClientGone
+from ..core.failures import Stopping
 from ..core.ids import ObjectKey
 from ..core.ids import RequestId
+from ..core.states import Intake
 from ..core.task import monotonic
 from ..program.answers import HTTP_STATUS
 from ..program.answers import JSON_TYPE
@@ -53,6 +55,9 @@
 
 MAX_WAIT_DIGITS = 9
 
+LEAVE_AFTER = 0.1
+"""Seconds after which a client that met a leaving gateway may try another."""
+
 NO_LENGTH_STATUSES = frozenset({204, 304})
 
 
@@ -64,8 +69,7 @@
     names: HeaderNames
     watch: WatchTask
     placing: PlacingTask
-    draining: bool = False
-    """Whether answers ask clients to go elsewhere."""
+    intake: Intake = Intake.OPEN
 
 
 class RequestGateway(Gateway):
@@ -80,6 +84,9 @@
             self._refuse(source, read.error)
             return
         req = read.ok
+        if source.intake is Intake.CLOSED:
+            self._fail(source, req, RequestFailed(Stopping(), False, LEAVE_AFTER))
+            return
         descriptor = self.req.conn.socket.fileno()
         with source.watch.watching(descriptor, req.cancellation):
             ended = source.pipeline.run(req)
@@ -219,7 +226,7 @@
         raw.outheaders = headers
         if code not in NO_LENGTH_STATUSES:
             headers.append((b"Content-Length", str(len(body)).encode()))
-        if source.draining:
+        if source.intake is not Intake.OPEN:
             raw.close_connection = True
         raw.ensure_headers_sent()
         if body and raw.method != b"HEAD":
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -23,6 +23,7 @@
 from .world import make_routing
 
 NAMES = HeaderNames()
+OWN = b"HTTP/1.1 200 Fine\r\nSnipecart-Request: r1\r\n"
 ROUTE = make_routing(make_route()).routes[0]
 
 
@@ -91,13 +92,15 @@
     [
         [answer(length=50), CLOSE],
         [answer(length=50), RESET],
-        [b"HTTP/1.1 200 Fine\r\n\r\nhalf", RESET],
+        [OWN + b"\r\nhalf", RESET],
         [b"no answer at all\r\n\r\n", CLOSE],
+        [OWN, CLOSE],
+        [b"HTTP/1.1 200 Fine\r\nContent-Length: 2\r\n\r\nno", CLOSE],
         [CLOSE],
         [RESET],
         [answer(request="other"), CLOSE],
-        [b"HTTP/1.1 200 Fine\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", CLOSE],
-        [b"HTTP/1.1 200 Fine\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab", CLOSE],
+        [OWN + b"Transfer-Encoding: chunked\r\n\r\n5\r\nab", CLOSE],
+        [OWN + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nab", CLOSE],
     ],
 )
 def test_what_is_not_whole_or_not_the_own_answer_is_broken(script):
@@ -107,7 +110,7 @@
 
 
 def test_an_answer_without_length_is_whole_at_an_orderly_close():
-    with scripted_server([b"HTTP/1.1 200 Fine\r\n\r\nall of it", CLOSE]) as played:
+    with scripted_server([OWN + b"\r\nall of it", CLOSE]) as played:
         sent = send(played)
     assert sent.answer.body == b"all of it"
 
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -242,6 +242,9 @@
         thread.join()
     assert answers == [200] * 6
     assert not fleet.is_ready("entry-2")
+    time.sleep(1.5)
+    late = fleet.request("entry-2")
+    assert (late.status, late.headers["Connection"]) == (503, "close")
     assert fleet.processes.pop("entry-2").wait(10) == 0
     for backend in fleet.backends:
         backend.seconds = 0.0
