--- /dev/null
+++ b/src/snipecart/gateway/placing/choice.py
@@ -0,0 +1,222 @@
+"""Choose a backend server for each request, or refuse it at once.
+
+Answers the load of a flood on servers that answer faster what they know: once requests
+spill to servers that don't know their objects, each takes several times as long, and
+the spilling feeds itself. So an object keeps to a few servers, and waits there or is
+refused, rather than run cold on a server that is busy, too.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from ...core.failures import Failure
+from ...core.failures import NoEndpoint
+from ...core.failures import ServerSaturated
+from ...core.ids import InstanceId
+from ...core.ids import RegionName
+from ...core.ids import ServiceName
+from ...core.registry import Registry
+from ...core.states import EndpointState
+from ..request import Place
+from .admission import WAIT_RULES
+from .hashing import order_for
+from .hashing import region_shares
+from .server import Server
+from .server import TokenBucket
+
+if TYPE_CHECKING:
+    from ...core.ids import Instant
+    from ...text.routing import Route
+    from ..request import Routed
+    from .state import PlacingState
+
+KNOWING = 2
+"""Servers that an object keeps to, the first in its order that are sound."""
+
+SPARE_LOAD = 0.5
+"""Load for each slot below which a server has time for objects it doesn't know."""
+
+COLD_BURST = 1.0
+"""Requests that a gateway may send a cold backend server at once."""
+
+LEAST_SOUND = 0.6
+"""Part of the servers that must be sound for the others to be left alone."""
+
+ORDERS_KEPT = 4096
+"""Orders of backend servers remembered between two changes of them."""
+
+
+Choice = Callable[
+    ["PlacingState", "Routed", ServiceName, list[Server], "Instant"],
+    Result[Place, Failure],
+]
+"""Takes sound servers, the best first."""
+
+CHOICES: Registry[str, Choice] = Registry("ways to choose a server")
+
+
+def choose(
+    state: PlacingState,
+    routed: Routed,
+    service: ServiceName,
+    tried: frozenset[InstanceId],
+    now: Instant,
+) -> Result[Place, Failure]:
+    """Return the backend server a request goes to, or why it is refused at once."""
+    servers = _candidates(state, routed, service, tried)
+    if not servers:
+        return Error(NoEndpoint(service))
+    sound = _leave_out_failing(servers, now)
+    return CHOICES.get(state.choice)(state, routed, service, sound, now)
+
+
+@CHOICES.register("warm-first")
+def choose_warm_first(
+    state: PlacingState,
+    routed: Routed,
+    service: ServiceName,
+    servers: list[Server],
+    now: Instant,
+) -> Result[Place, Failure]:
+    """Keep to the servers that know the object, unless another has time to spare."""
+    quick = [item for item in servers if not item.is_slow(now)] or servers
+    knowing, others = quick[:KNOWING], quick[KNOWING:]
+    for item in knowing:
+        if item.load(now) < item.slots and _bears(state, item, service, now):
+            return Ok(_place(item, service, 0.0))
+    for item in others:
+        spare = item.load(now) < item.slots * SPARE_LOAD
+        if spare and _bears(state, item, service, now):
+            return Ok(_place(item, service, 0.0))
+    return _queue(state, routed, service, knowing, now)
+
+
+@CHOICES.register("any-room")
+def choose_any_room(
+    state: PlacingState,
+    routed: Routed,
+    service: ServiceName,
+    servers: list[Server],
+    now: Instant,
+) -> Result[Place, Failure]:
+    """Take the first server with a free slot, whatever it knows; the baseline."""
+    for item in servers:
+        if item.load(now) < item.slots and _bears(state, item, service, now):
+            return Ok(_place(item, service, 0.0))
+    return _queue(state, routed, service, servers, now)
+
+
+def _leave_out_failing(servers: list[Server], now: Instant) -> list[Server]:
+    """Drop ejected servers, and those that fail in part if most others don't."""
+    up = [item for item in servers if not item.is_ejected(now)] or servers
+    sound = [item for item in up if not item.is_grey(now)]
+    return sound if len(sound) > len(up) * LEAST_SOUND else up
+
+
+def _candidates(
+    state: PlacingState,
+    routed: Routed,
+    service: ServiceName,
+    tried: frozenset[InstanceId],
+) -> list[Server]:
+    """Return the backend servers that may serve a request, the best first."""
+    route, req = routed.route, routed.req
+    if route.affinity and req.object:
+        names = _remembered_order(state, f"{route.name}\n{req.object}", service)
+    else:
+        names = _order(state, req.request, service)
+    return [
+        state.servers[name]
+        for name in names
+        if name not in tried and _may_serve(state, state.servers[name], route)
+    ]
+
+
+def _may_serve(state: PlacingState, server: Server, route: Route) -> bool:
+    said = server.instance
+    return (
+        said.state is EndpointState.SERVING
+        and said.zone not in state.evacuated
+        and (not route.regions or said.region in route.regions)
+    )
+
+
+def _remembered_order(
+    state: PlacingState, key: str, service: ServiceName
+) -> list[InstanceId]:
+    order = state.orders.get((key, service))
+    if order is None:
+        if len(state.orders) >= ORDERS_KEPT:
+            state.orders.clear()
+        order = _order(state, key, service)
+        state.orders[(key, service)] = order
+    return order
+
+
+def _order(state: PlacingState, key: str, service: ServiceName) -> list[InstanceId]:
+    instances = [
+        item.instance
+        for item in state.servers.values()
+        if item.instance.service == service
+    ]
+    slots: dict[RegionName, int] = {}
+    for item in instances:
+        if item.state is EndpointState.SERVING:
+            slots[item.region] = slots.get(item.region, 0) + item.slots
+    shares = region_shares(state.here.region, slots, state.here.regions)
+    return [item.instance for item in order_for(key, instances, shares)]
+
+
+def _bears(
+    state: PlacingState, server: Server, service: ServiceName, now: Instant
+) -> bool:
+    """Take a token of a cold backend server; a warm one bears anything."""
+    if not server.is_cold(now):
+        server.bucket = None
+        return True
+    described = state.index.services.get(service) if state.index else None
+    rate = described.cold_per_s if described is not None else 0.0
+    if not rate:
+        return True
+    rate /= state.gateways
+    if server.bucket is None or server.bucket.rate != rate:
+        server.bucket = TokenBucket(rate, COLD_BURST, COLD_BURST, now)
+    return server.bucket.take(now)
+
+
+def _queue(
+    state: PlacingState,
+    routed: Routed,
+    service: ServiceName,
+    servers: list[Server],
+    now: Instant,
+) -> Result[Place, Failure]:
+    """Wait at the backend server that is free first, if that is soon enough."""
+    route = routed.route
+    usual = state.usual.get(route.name, route.target_latency_ms / 1000)
+    waits = {
+        item.instance.instance: usual * (item.load(now) - item.slots + 1) / item.slots
+        for item in servers
+    }
+    allowed = WAIT_RULES.get(state.wait_rule)(state.index.routing, route, usual * 1000)
+    limit = min(allowed / 1000, routed.deadline - now - usual)
+    for item in sorted(servers, key=lambda item: waits[item.instance.instance]):
+        wait = waits[item.instance.instance]
+        if wait > limit:
+            break
+        if _bears(state, item, service, now):
+            return Ok(_place(item, service, max(0.0, wait)))
+    return Error(ServerSaturated(service))
+
+
+def _place(server: Server, service: ServiceName, wait: float) -> Place:
+    server.sending += 1
+    host, _, port = server.instance.endpoint.rpartition(":")
+    name = server.instance.instance
+    return Place(service, name, host, int(port), int(wait * 1000))
--- /dev/null
+++ b/src/snipecart/gateway/placing/outcome.py
@@ -0,0 +1,74 @@
+"""Learn from how sends ended."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...core.events import SERVER_EJECTED
+from ...core.events import emit
+from ...core.ids import Instant
+from ...core.states import SendEnd
+from .budget import RetryBudget
+
+if TYPE_CHECKING:
+    from ...core.ids import ServiceName
+    from ...text.routing import Route
+    from ..request import Place
+    from ..request import Routed
+    from ..request import Sent
+    from .state import PlacingState
+
+USUAL_STEP = 0.05
+"""Weight of the latest answer in a route's usual time."""
+
+MOST_LEARNT = 2.0
+"""Time against the usual beyond which an answer moves the usual no further."""
+
+LEAST_DELAY = 0.05
+"""Seconds over the usual time below which an answer says nothing of slowness."""
+
+MISDIRECTED_EJECTION = 5.0
+"""Seconds until an address that answered for another run is tried again."""
+
+
+def note_end(
+    state: PlacingState, routed: Routed, place: Place, sent: Sent, now: Instant
+) -> None:
+    """Free a request's place and learn from how its send ended."""
+    server = state.servers.get(place.instance)
+    if server is None:
+        return
+    server.sending = max(0, server.sending - 1)
+    ratio = _note_time(state, routed.route, place, sent)
+    was_ejected = server.is_ejected(now)
+    server.note_end(sent.end, ratio, sent.load is not None, now)
+    if sent.load is not None:
+        server.note_load(sent.load, now)
+    if sent.end is SendEnd.MISDIRECTED:
+        server.ejected_until = Instant(now + MISDIRECTED_EJECTION)
+    if server.is_ejected(now) and not was_ejected:
+        emit(
+            SERVER_EJECTED,
+            instance=place.instance,
+            end=sent.end,
+            failures=server.failures,
+            failing=round(server.failing, 2),
+            seconds=round(server.ejected_until - now, 1),
+        )
+
+
+def _note_time(state: PlacingState, route: Route, place: Place, sent: Sent) -> float:
+    """Learn a route's usual time; return this send's time against it."""
+    if sent.end is not SendEnd.ANSWERED or place.queued_ms:
+        return 1.0
+    usual = state.usual.setdefault(route.name, sent.seconds)
+    learnt = min(sent.seconds, usual * MOST_LEARNT)
+    state.usual[route.name] = usual + USUAL_STEP * (learnt - usual)
+    if sent.seconds < usual + LEAST_DELAY:
+        return min(1.0, sent.seconds / usual) if usual > 0 else 1.0
+    return sent.seconds / usual if usual > 0 else 1.0
+
+
+def budget_of(state: PlacingState, service: ServiceName) -> RetryBudget:
+    """Return the retry budget of a service."""
+    return state.budgets.setdefault(service, RetryBudget(state.budget_rule))
--- a/src/snipecart/gateway/placing/server.py
+++ b/src/snipecart/gateway/placing/server.py
@@ -31,7 +31,7 @@
 GREY_EJECTION = 3.0
 """Seconds for which a backend server that fails in part is left alone."""
 
-SLOW_RATIO = 2.2
+SLOW_RATIO = 3.5
 """Time against its kind's usual time above which a backend server is slow."""
 
 SLOW_MEMORY = 4.0
--- a/src/snipecart/gateway/placing/task.py
+++ b/src/snipecart/gateway/placing/task.py
@@ -23,11 +23,11 @@
 from ...messages.discovery import SyncAnswer
 from ..metrics import ROUTING_VERSION
 from ..request import Sent
+from .choice import choose
+from .outcome import budget_of
+from .outcome import note_end
 from .state import PlacingState
-from .state import budget_of
-from .state import choose
 from .state import drop_instance
-from .state import note_end
 from .state import take_instance
 from .state import take_sync
 
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -7,11 +7,11 @@
 from snipecart.core.ids import Instant
 from snipecart.core.states import EndpointState
 from snipecart.core.states import SendEnd
+from snipecart.gateway.placing.choice import choose
+from snipecart.gateway.placing.outcome import note_end
 from snipecart.gateway.placing.routes import RouteIndex
 from snipecart.gateway.placing.state import Here
 from snipecart.gateway.placing.state import PlacingState
-from snipecart.gateway.placing.state import choose
-from snipecart.gateway.placing.state import note_end
 from snipecart.gateway.placing.state import take_instance
 from snipecart.gateway.request import HttpRequest
 from snipecart.gateway.request import Routed
