--- a/src/snipecart/gateway/factory.py
+++ b/src/snipecart/gateway/factory.py
@@ -68,7 +68,9 @@
     """Return the placing state at start."""
     rule = BudgetRule(cfg.retries.ratio, cfg.retries.window_s, cfg.retries.slack)
     here = Here(cfg.region, cfg.zone, cfg.regions)
-    return PlacingState(here, cfg.admission, rule)
+    return PlacingState(
+        here, choice=cfg.choice, wait_rule=cfg.admission, budget_rule=rule
+    )
 
 
 @contextmanager
--- a/src/snipecart/gateway/placing/outcome.py
+++ b/src/snipecart/gateway/placing/outcome.py
@@ -19,10 +19,13 @@
     from .state import PlacingState
 
 USUAL_STEP = 0.05
-"""Weight of the latest answer in a route's usual time."""
+"""Weight of a quicker answer in a route's usual time."""
 
-MOST_LEARNT = 2.0
-"""Time against the usual beyond which an answer moves the usual no further."""
+RISE = 1.015
+"""Factor by which a slower answer raises a route's usual time.
+
+Small, so that the usual time is that of servers that are sound and know the object.
+"""
 
 LEAST_DELAY = 0.05
 """Seconds over the usual time below which an answer says nothing of slowness."""
@@ -62,8 +65,10 @@
     if sent.end is not SendEnd.ANSWERED or place.queued_ms:
         return 1.0
     usual = state.usual.setdefault(route.name, sent.seconds)
-    learnt = min(sent.seconds, usual * MOST_LEARNT)
-    state.usual[route.name] = usual + USUAL_STEP * (learnt - usual)
+    if sent.seconds > usual:
+        state.usual[route.name] = usual * RISE
+    else:
+        state.usual[route.name] = usual + USUAL_STEP * (sent.seconds - usual)
     if sent.seconds < usual + LEAST_DELAY:
         return min(1.0, sent.seconds / usual) if usual > 0 else 1.0
     return sent.seconds / usual if usual > 0 else 1.0
--- a/src/snipecart/program/settings.py
+++ b/src/snipecart/program/settings.py
@@ -117,6 +117,7 @@
     control: Annotated[tuple[ControlPeer, ...], Field(min_length=1)]
     """Control processes to begin with; they name the others."""
     retries: RetryBudgetSettings = RetryBudgetSettings()
+    choice: str = "warm-first"
     admission: str = "target"
     linger_s: Annotated[float, Field(ge=0)] = 3.0
     """Seconds a leaving process still takes requests."""
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -171,8 +171,8 @@
         routed = gateway.request(key=key)
         gateway.end(routed, gateway.place(routed))
     slow = gateway.place(gateway.request(key="1")).instance
-    for _ in range(12):
-        routed = gateway.request(key="1")
+    for turn in range(60):
+        routed = gateway.request(key=str(turn % 5))
         place = gateway.place(routed)
         seconds = 1.0 if place.instance == slow else 0.2
         gateway.end(routed, place, seconds=seconds)
