Keep objects to the servers that know them, and never bury what a thawed process missed

Ruled out: queueing longer at the servers (late answers rose), two servers an object with no others (regions that lose servers starved). Change: an object keeps to its first two servers and those that other regions choose for it, spills only to servers under half load, and else waits there for as long as its target allows or is refused. Expiry is no news to push; a process that stood still or was cut off takes all for alive first; gateways send a digest and are sent everything where it differs; a lagging list neither drops nor revives.

--- a/src/snipecart/control/discovery/table.py
+++ b/src/snipecart/control/discovery/table.py
@@ -18,6 +18,7 @@
     from collections.abc import Iterator
 
     from ...messages.discovery import Instance
+from ...messages.discovery import digest_of
 
 SILENCE = 8.0
 """Seconds without a report after which an instance counts as gone."""
@@ -119,6 +120,15 @@
             self.forgotten = max(self.forgotten, tomb.revision)
         return [Change(item.instance, gone=True) for item in silent]
 
+    def hold(self, now: Instant) -> None:
+        """Take all known instances for alive now, as their reports could not come."""
+        for item in self.known.values():
+            item.heard = now
+
+    def digest(self) -> int:
+        """Return the digest of all known instances."""
+        return digest_of(item.instance for item in self.known.values())
+
     def changes_since(self, revision: int, now: Instant) -> Iterator[Change]:
         """Yield what a reader at a revision has not seen."""
         for item in self.known.values():
--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from ...core.events import GATEWAY_DIFFERS
 from ...core.events import GATEWAY_HEARD
 from ...core.events import GATEWAY_SILENT
 from ...core.events import INSTANCE_CHANGED
@@ -53,8 +54,11 @@
 EXPIRE_EVERY = 1.0
 """Seconds between two looks for silent instances."""
 
-SETTLED = 4.0
-"""Seconds from start until every living instance has reported to somebody."""
+GAP = 1.0
+"""Seconds between two turns of this task after which it must have stood still."""
+
+SETTLED_REPORTS = 1.6
+"""Report intervals from start until every living instance has reported to somebody."""
 
 
 @dataclass(frozen=True)
@@ -86,8 +90,11 @@
 class DiscoveryTask(Task):
     """Own the tables of instances and gateways of one control process."""
 
-    def __init__(self, vm: VmName, broadcast: Callable[[Any], None]) -> None:
+    def __init__(
+        self, vm: VmName, broadcast: Callable[[Any], None], report_every: float
+    ) -> None:
         super().__init__("discovery", 16_384)
+        self.settled = SETTLED_REPORTS * report_every
         self.vm = vm
         self.broadcast = broadcast
         self.run_id = uuid.uuid4().hex[:12]
@@ -102,6 +109,8 @@
         """Gateways that look-ups may name; replaced whole, read by any thread."""
         self._gossip_due = Instant(0.0)
         self._expire_due = Instant(0.0)
+        self._ran_at = self.started
+        self._had_contact = False
 
     def next_wait(self, now: Instant) -> float:
         """Block until gossip is due or a confirmation is overdue."""
@@ -111,6 +120,7 @@
 
     def handle(self, batch: list[Any], now: Instant) -> None:
         """Handle messages, then do what is due."""
+        self._note_gap(now)
         for message in batch:
             inner = message.message if isinstance(message, Received) else message
             if type(inner) in HANDLERS:
@@ -118,8 +128,7 @@
         self.settle(now)
         if now >= self._expire_due:
             self._expire_due = Instant(now + EXPIRE_EVERY)
-            self.spread(self.instances.expire(now), now)
-            self.gateways.forget_silent(now)
+            self._expire(now)
         if now >= self._gossip_due:
             self._gossip_due = Instant(now + GOSSIP_EVERY)
             self.broadcast(Gossip(self.vm, tuple(self.heard)))
@@ -162,6 +171,26 @@
                 emit(REPORT_UNCONFIRMED, waiting=",".join(sorted(item.waiting)))
             item.reply(not item.waiting)
 
+    def _note_gap(self, now: Instant) -> None:
+        """Start anew after standing still: reports went elsewhere meanwhile."""
+        gap = now - self._ran_at
+        self._ran_at = now
+        if gap > GAP:
+            self.started = now
+            self.instances.hold(now)
+
+    def _expire(self, now: Instant) -> None:
+        """Bury silent instances, unless it is this process that heard nobody."""
+        had_contact, self._had_contact = self._had_contact, self.in_contact(now)
+        if not self._had_contact:
+            return
+        if not had_contact:
+            self.instances.hold(now)
+        for change in self.instances.expire(now):
+            said = change.instance
+            emit(INSTANCE_GONE, instance=said.instance, sequence=said.sequence)
+        self.gateways.forget_silent(now)
+
     def _name_gateways(self, now: Instant) -> None:
         live = self.gateways.live(now, NAMED)
         named = tuple(item.gateway for item in live)
@@ -232,11 +261,15 @@
     newer_routing = adopted.routing_version > sync.routing_version
     newer_zones = adopted.evacuation_index > sync.evacuation_index
     known = sync.source == task.run_id and sync.revision >= task.instances.forgotten
+    current = known and sync.revision == task.instances.revision
+    if current and sync.digest != task.instances.digest():
+        emit(GATEWAY_DIFFERS, gateway=sync.gateway.gateway)
+        known = False
     since = sync.revision if known else 0
     changes = list(task.instances.changes_since(since, now))
     if not sync.wants_changes:
         changes = []
-    ready = now > task.started + SETTLED and task.in_contact(now)
+    ready = now > task.started + task.settled and task.in_contact(now)
     req.reply(
         SyncAnswer(
             task.run_id,
--- a/src/snipecart/control/factory.py
+++ b/src/snipecart/control/factory.py
@@ -198,7 +198,9 @@
             send=lambda effect: links.send(effect.to, effect.message),
             report=lambda synced: node.mailbox.post_waiting(synced),
         )
-        discovery = DiscoveryTask(cfg.vm, partial(links.send, EVERYONE))
+        discovery = DiscoveryTask(
+            cfg.vm, partial(links.send, EVERYONE), cfg.report_every_s
+        )
         node = make_node(cfg, recovered.ok, links, disk.post, discovery)
         tasks = ControlTasks(node, discovery, links)
         links.sink = lambda framed: tasks.post(Received(framed.message, _ignore))
--- a/src/snipecart/gateway/placing/choice.py
+++ b/src/snipecart/gateway/placing/choice.py
@@ -37,7 +37,7 @@
     from .state import PlacingState
 
 KNOWING = 2
-"""Servers that an object keeps to, the first in its order that are sound."""
+"""Servers that an object keeps to, besides those that other regions choose for it."""
 
 SPARE_LOAD = 0.5
 """Load for each slot below which a server has time for objects it doesn't know."""
@@ -86,7 +86,8 @@
 ) -> Result[Place, Failure]:
     """Keep to the servers that know the object, unless another has time to spare."""
     quick = [item for item in servers if not item.is_slow(now)] or servers
-    knowing, others = quick[:KNOWING], quick[KNOWING:]
+    knowing = _knowing(state, routed, service, quick)
+    others = [item for item in quick if item not in knowing]
     for item in knowing:
         if item.load(now) < item.slots and _bears(state, item, service, now):
             return Ok(_place(item, service, 0.0))
@@ -97,6 +98,22 @@
     return _queue(state, routed, service, knowing, now)
 
 
+def _knowing(
+    state: PlacingState, routed: Routed, service: ServiceName, servers: list[Server]
+) -> list[Server]:
+    """Return the servers that know an object, the own region's choice first."""
+    knowing = servers[:KNOWING]
+    if not (routed.route.affinity and routed.req.object):
+        return knowing
+    sound = {item.instance.instance: item for item in servers}
+    for region in state.here.regions:
+        order = _order_of(state, routed, service, region)
+        first = next((sound[name] for name in order if name in sound), None)
+        if first is not None and first not in knowing:
+            knowing.append(first)
+    return knowing
+
+
 @CHOICES.register("any-room")
 def choose_any_room(
     state: PlacingState,
@@ -126,15 +143,11 @@
     tried: frozenset[InstanceId],
 ) -> list[Server]:
     """Return the backend servers that may serve a request, the best first."""
-    route, req = routed.route, routed.req
-    if route.affinity and req.object:
-        names = _remembered_order(state, f"{route.name}\n{req.object}", service)
-    else:
-        names = _order(state, req.request, service)
+    names = _order_of(state, routed, service, state.here.region)
     return [
         state.servers[name]
         for name in names
-        if name not in tried and _may_serve(state, state.servers[name], route)
+        if name not in tried and _may_serve(state, state.servers[name], routed.route)
     ]
 
 
@@ -147,19 +160,26 @@
     )
 
 
-def _remembered_order(
-    state: PlacingState, key: str, service: ServiceName
+def _order_of(
+    state: PlacingState, routed: Routed, service: ServiceName, region: RegionName
 ) -> list[InstanceId]:
-    order = state.orders.get((key, service))
+    """Return the order in which a region's gateways prefer a service's servers."""
+    route, req = routed.route, routed.req
+    if not (route.affinity and req.object):
+        return _make_order(state, req.request, service, region)
+    key = f"{route.name}\n{req.object}"
+    order = state.orders.get((key, service, region))
     if order is None:
         if len(state.orders) >= ORDERS_KEPT:
             state.orders.clear()
-        order = _order(state, key, service)
-        state.orders[(key, service)] = order
+        order = _make_order(state, key, service, region)
+        state.orders[(key, service, region)] = order
     return order
 
 
-def _order(state: PlacingState, key: str, service: ServiceName) -> list[InstanceId]:
+def _make_order(
+    state: PlacingState, key: str, service: ServiceName, region: RegionName
+) -> list[InstanceId]:
     instances = [
         item.instance
         for item in state.servers.values()
@@ -167,9 +187,10 @@
     ]
     slots: dict[RegionName, int] = {}
     for item in instances:
-        if item.state is EndpointState.SERVING:
+        serving = item.state is EndpointState.SERVING
+        if serving and item.zone not in state.evacuated:
             slots[item.region] = slots.get(item.region, 0) + item.slots
-    shares = region_shares(state.here.region, slots, state.here.regions)
+    shares = region_shares(region, slots, state.here.regions)
     return [item.instance for item in order_for(key, instances, shares)]
 
 
@@ -205,7 +226,8 @@
         for item in servers
     }
     allowed = WAIT_RULES.get(state.wait_rule)(state.index.routing, route, usual * 1000)
-    limit = min(allowed / 1000, routed.deadline - now - usual)
+    slow = state.slow.get(route.name, usual)
+    limit = min(allowed / 1000, routed.deadline - now - slow)
     for item in sorted(servers, key=lambda item: waits[item.instance.instance]):
         wait = waits[item.instance.instance]
         if wait > limit:
--- a/src/snipecart/gateway/placing/outcome.py
+++ b/src/snipecart/gateway/placing/outcome.py
@@ -27,6 +27,9 @@
 Small, so that the usual time is that of servers that are sound and know the object.
 """
 
+SLOW_UP, SLOW_DOWN = 1.09, 0.99
+"""Factors that hold a time at which nine in ten answers are quicker."""
+
 LEAST_DELAY = 0.05
 """Seconds over the usual time below which an answer says nothing of slowness."""
 
@@ -64,6 +67,9 @@
     """Learn a route's usual time; return this send's time against it."""
     if sent.end is not SendEnd.ANSWERED or place.queued_ms:
         return 1.0
+    slow = state.slow.setdefault(route.name, sent.seconds)
+    over = sent.seconds > slow
+    state.slow[route.name] = slow * (SLOW_UP if over else SLOW_DOWN)
     usual = state.usual.setdefault(route.name, sent.seconds)
     if sent.seconds > usual:
         state.usual[route.name] = usual * RISE
--- a/src/snipecart/gateway/placing/server.py
+++ b/src/snipecart/gateway/placing/server.py
@@ -59,7 +59,7 @@
         return True
 
 
-@dataclass
+@dataclass(eq=False)
 class Server:
     """Hold what is observed of a backend server."""
 
@@ -80,6 +80,8 @@
     """Moving average of time against the usual time."""
     slow_seen: Instant = Instant(-1e9)
     bucket: TokenBucket | None = None
+    told: Instant = Instant(0.0)
+    """When it became known here."""
 
     @property
     def slots(self) -> int:
--- a/src/snipecart/gateway/placing/state.py
+++ b/src/snipecart/gateway/placing/state.py
@@ -17,6 +17,7 @@
 from ...core.ids import Instant
 from ...core.ids import RegionName
 from ...core.ids import ServiceName
+from ...core.ids import UnixMillis
 from ...core.ids import ZoneName
 from ...text.routing import parse_routing
 from .budget import BudgetRule
@@ -34,6 +35,13 @@
     from ...messages.discovery import SyncAnswer
 
 
+NEWS_SPREADS = 2.0
+"""Seconds until all control processes know what one of them has pushed."""
+
+DEPARTED_KEPT = 2048
+"""Departed runs remembered."""
+
+
 @dataclass(frozen=True)
 class Here:
     """Say where this gateway is, and which regions there are."""
@@ -57,10 +65,14 @@
     evacuated: frozenset[ZoneName] = frozenset()
     gateways: int = 1
     servers: dict[InstanceId, Server] = field(default_factory=dict)
+    departed: dict[InstanceId, UnixMillis] = field(default_factory=dict)
+    """Birth of the latest run of an instance that said it is gone."""
     usual: dict[RouteName, float] = field(default_factory=dict)
     """Usual service time of each route in seconds."""
+    slow: dict[RouteName, float] = field(default_factory=dict)
+    """Time within which nine in ten answers of each route come, in seconds."""
     budgets: dict[ServiceName, RetryBudget] = field(default_factory=dict)
-    orders: dict[tuple[str, ServiceName], list[InstanceId]] = field(
+    orders: dict[tuple[str, ServiceName, RegionName], list[InstanceId]] = field(
         default_factory=dict
     )
 
@@ -72,6 +84,7 @@
     if answer.evacuation_index > state.evacuation_index:
         state.evacuation_index = answer.evacuation_index
         state.evacuated = frozenset(answer.evacuated)
+        state.orders.clear()
         emit(EVACUATION_IN_FORCE, zones=",".join(sorted(state.evacuated)))
     state.gateways = max(1, answer.gateways)
     for instance in answer.instances:
@@ -79,7 +92,11 @@
     gone: Iterable[InstanceId] = answer.gone
     if answer.complete:
         listed = {item.instance for item in answer.instances}
-        gone = [name for name in state.servers if name not in listed]
+        gone = [
+            name
+            for name, server in state.servers.items()
+            if name not in listed and now > server.told + NEWS_SPREADS
+        ]
     for name in list(gone):
         drop_instance(state, name)
 
@@ -101,6 +118,8 @@
 
 def take_instance(state: PlacingState, said: Instance, now: Instant) -> None:
     """Take over one backend server, unless something later is known of it."""
+    if said.born <= state.departed.get(said.instance, -1):
+        return
     held = state.servers.get(said.instance)
     cold_until = Instant(now + said.cold / 1000)
     if held is not None and held.instance.born == said.born:
@@ -112,7 +131,7 @@
     for other in list(state.servers.values()):
         if other.instance.endpoint == said.endpoint:
             drop_instance(state, other.instance.instance)
-    state.servers[said.instance] = Server(said, cold_until)
+    state.servers[said.instance] = Server(said, cold_until, told=now)
     state.orders.clear()
     emit(
         SERVER_SEEN,
@@ -135,6 +154,16 @@
     held.cold_until = cold_until
 
 
+def take_departure(state: PlacingState, said: Instance) -> None:
+    """Forget a run that has said it is gone, whatever is still told of it."""
+    state.departed[said.instance] = said.born
+    while len(state.departed) > DEPARTED_KEPT:
+        del state.departed[next(iter(state.departed))]
+    held = state.servers.get(said.instance)
+    if held is not None and held.instance.born <= said.born:
+        drop_instance(state, said.instance)
+
+
 def drop_instance(state: PlacingState, name: InstanceId) -> None:
     """Forget a backend server that is gone."""
     if state.servers.pop(name, None) is not None:
--- a/src/snipecart/gateway/placing/task.py
+++ b/src/snipecart/gateway/placing/task.py
@@ -21,13 +21,14 @@
 from ...core.task import Task
 from ...messages.discovery import InstanceChanged
 from ...messages.discovery import SyncAnswer
+from ...messages.discovery import digest_of
 from ..metrics import ROUTING_VERSION
 from ..request import Sent
 from .choice import choose
 from .outcome import budget_of
 from .outcome import note_end
 from .state import PlacingState
-from .state import drop_instance
+from .state import take_departure
 from .state import take_instance
 from .state import take_sync
 
@@ -83,6 +84,8 @@
 
     index: RouteIndex | None = None
     evacuation_index: int = 0
+    digest: int = 0
+    """Of all backend servers known here."""
 
 
 Handler = Callable[["PlacingTask", Any, Instant], None]
@@ -123,7 +126,11 @@
         state = self.state
         if state.index is not self.view.index:
             ROUTING_VERSION.set(state.index.routing.version)
-        self.view = View(state.index, int(state.evacuation_index))
+        self.view = View(
+            state.index,
+            int(state.evacuation_index),
+            digest_of(item.instance for item in state.servers.values()),
+        )
 
     def _ask(self, message: AskPlace | AskAgain) -> Result[Place, Failure]:
         if not self.post(message):
@@ -185,6 +192,7 @@
 def handle_changed(task: PlacingTask, change: InstanceChanged, now: Instant) -> None:
     """Take over one pushed change."""
     if change.gone:
-        drop_instance(task.state, change.instance.instance)
+        take_departure(task.state, change.instance)
     else:
         take_instance(task.state, change.instance, now)
+    task.publish()
--- a/src/snipecart/gateway/sync.py
+++ b/src/snipecart/gateway/sync.py
@@ -37,7 +37,7 @@
 ANSWERS_FOR = 1.3
 """Seconds after its last answer for which a control process is followed."""
 
-READY_ANYWAY = 5.0
+READY_ANYWAY = 3.5
 """Seconds after the first answer at which an incomplete picture must do."""
 
 
@@ -190,6 +190,7 @@
                     RoutingVersion(version),
                     LogIndex(view.evacuation_index),
                     vm == self._followed,
+                    view.digest,
                 ),
             )
         )
--- a/src/snipecart/messages/discovery.py
+++ b/src/snipecart/messages/discovery.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import zlib
+from typing import TYPE_CHECKING
+
 from ..core.ids import EndpointId
 from ..core.ids import InstanceId
 from ..core.ids import MemberId
@@ -18,6 +21,9 @@
 from ..core.states import MemberState
 from .commands import Node
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 
 @record
 class Instance:
@@ -38,6 +44,12 @@
     """How long it stays cold from the moment this message was sent."""
 
 
+def digest_of(instances: Iterable[Instance]) -> int:
+    """Return a digest of the runs and states of instances, in any order."""
+    lines = sorted(f"{item.instance} {item.born} {item.state}" for item in instances)
+    return zlib.crc32("\n".join(lines).encode())
+
+
 @record
 class Gateway:
     """Describe an entry process that takes routed requests."""
@@ -62,6 +74,8 @@
     evacuation_index: int
     wants_changes: bool
     """Only one control process a gateway answers with changes."""
+    digest: int
+    """Of all instances that the gateway holds, to find what it missed."""
 
 
 @message
--- a/src/snipecart/platform/settings.py
+++ b/src/snipecart/platform/settings.py
@@ -122,6 +122,7 @@
             peers=given.control_peers(),
             open_to_vms=True,
             founding=given.fields["bootstrap"],
+            report_every_s=read_ms(given.fields["heartbeat_interval"]) / 1000,
             log_level="INFO",
         )
     )
--- a/src/snipecart/program/settings.py
+++ b/src/snipecart/program/settings.py
@@ -56,6 +56,8 @@
     """Whether control processes on VMs that ``peers`` does not list may join."""
     founding: bool = True
     """Whether the system starts for the first time, with blank disks."""
+    report_every_s: Annotated[float, Field(gt=0)] = 1.5
+    """Seconds between two reports of a backend server."""
     log_level: str = "NOTICE"
 
 
