--- a/src/snipecart/gateway/pipeline.py
+++ b/src/snipecart/gateway/pipeline.py
@@ -107,7 +107,7 @@
         sent = ctx.backends.send(routed, place)
         SENDS.labels(sent.end).inc()
         ctx.placing.post(SendEnded(routed, place, sent))
-        attempts.append(Attempt(place.instance, sent.end, round(sent.seconds, 4)))
+        attempts.append(Attempt(place, sent.end, sent.seconds))
         if sent.end is SendEnd.ANSWERED:
             return Ok(Answered(routed, sent.answer, tuple(attempts)))
         again = _next_place(ctx, routed, place, sent, attempts)
@@ -127,7 +127,7 @@
     ends = [attempt.end for attempt in attempts]
     if not may_repeat(routed.route, ends, routed.remaining()):
         return None
-    tried: frozenset[InstanceId] = frozenset(item.instance for item in attempts)
+    tried: frozenset[InstanceId] = frozenset(item.place.instance for item in attempts)
     counted = sent.end is not SendEnd.NOT_SENT
     chosen = ctx.placing.place_again(routed, place.service, tried, counted)
     return chosen.ok if chosen.is_ok() else None
--- a/src/snipecart/gateway/placing/choice.py
+++ b/src/snipecart/gateway/placing/choice.py
@@ -69,6 +69,9 @@
     now: Instant,
 ) -> Result[Place, Failure]:
     """Return the backend server a request goes to, or why it is refused at once."""
+    first = _find_first(state, routed, service, tried, now)
+    if first is not None:
+        return Ok(_place(first, service, 0.0, now))
     servers = _candidates(state, routed, service, tried)
     if not servers:
         return Error(NoEndpoint(service))
@@ -90,11 +93,11 @@
     others = [item for item in quick if item not in knowing]
     for item in knowing:
         if item.load(now) < item.slots and _bears(state, item, service, now):
-            return Ok(_place(item, service, 0.0))
+            return Ok(_place(item, service, 0.0, now))
     for item in others:
         spare = item.load(now) < item.slots * SPARE_LOAD
         if spare and _bears(state, item, service, now):
-            return Ok(_place(item, service, 0.0))
+            return Ok(_place(item, service, 0.0, now))
     return _queue(state, routed, service, knowing, now)
 
 
@@ -125,10 +128,30 @@
     """Take the first server with a free slot, whatever it knows; the baseline."""
     for item in servers:
         if item.load(now) < item.slots and _bears(state, item, service, now):
-            return Ok(_place(item, service, 0.0))
+            return Ok(_place(item, service, 0.0, now))
     return _queue(state, routed, service, servers, now)
 
 
+def _find_first(
+    state: PlacingState,
+    routed: Routed,
+    service: ServiceName,
+    tried: frozenset[InstanceId],
+    now: Instant,
+) -> Server | None:
+    """Return the first server in order, if nothing speaks against it.
+
+    Saves most requests the look at all others.
+    """
+    for name in _order_of(state, routed, service, state.here.region):
+        server = state.servers[name]
+        if name in tried or not _may_serve(state, server, routed.route):
+            continue
+        free = server.load(now) < server.slots and server.is_sound(now)
+        return server if free and _bears(state, server, service, now) else None
+    return None
+
+
 def _leave_out_failing(servers: list[Server], now: Instant) -> list[Server]:
     """Drop ejected servers, and those that fail in part if most others don't."""
     up = [item for item in servers if not item.is_ejected(now)] or servers
@@ -228,17 +251,32 @@
     allowed = WAIT_RULES.get(state.wait_rule)(state.index.routing, route, usual * 1000)
     slow = state.slow.get(route.name, usual)
     limit = min(allowed / 1000, routed.deadline - now - slow)
-    for item in sorted(servers, key=lambda item: waits[item.instance.instance]):
+    ranked = sorted(servers, key=lambda item: waits[item.instance.instance])
+    for item in ranked:
         wait = waits[item.instance.instance]
         if wait > limit:
             break
         if _bears(state, item, service, now):
-            return Ok(_place(item, service, max(0.0, wait)))
-    return Error(ServerSaturated(service))
+            return Ok(_place(item, service, max(0.0, wait), now))
+    return Error(ServerSaturated(_explain(ranked[0], waits, limit, now)))
+
+
+def _explain(
+    best: Server, waits: dict[InstanceId, float], limit: float, now: Instant
+) -> str:
+    """Say what a refusal rests on."""
+    name = best.instance.instance
+    return (
+        f"{name} is free first, in {waits[name] * 1000:.0f} ms of {limit * 1000:.0f}"
+        f" allowed, load {best.load(now):.1f} of {best.slots},"
+        f" report {best.report_ms(now)} ms old"
+    )
 
 
-def _place(server: Server, service: ServiceName, wait: float) -> Place:
+def _place(server: Server, service: ServiceName, wait: float, now: Instant) -> Place:
+    load = server.load(now)
     server.sending += 1
     host, _, port = server.instance.endpoint.rpartition(":")
     name = server.instance.instance
-    return Place(service, name, host, int(port), int(wait * 1000))
+    queued = int(wait * 1000)
+    return Place(service, name, host, int(port), queued, load, server.report_ms(now))
--- a/src/snipecart/gateway/placing/server.py
+++ b/src/snipecart/gateway/placing/server.py
@@ -93,6 +93,10 @@
         fresh = max(0.0, 1.0 - (now - self.reported) / REPORT_AGE)
         return self.sending + self.others * fresh
 
+    def report_ms(self, now: Instant) -> int:
+        """Return the age of the last load report in milliseconds, at most a minute."""
+        return int(min(60.0, now - self.reported) * 1000)
+
     def is_ejected(self, now: Instant) -> bool:
         """Say whether it is left alone for its failures."""
         return now < self.ejected_until
@@ -105,6 +109,11 @@
         """Say whether it lately took much longer than usual."""
         return self.slowness > SLOW_RATIO and now < self.slow_seen + SLOW_MEMORY
 
+    def is_sound(self, now: Instant) -> bool:
+        """Say whether nothing is held against it."""
+        held = self.is_ejected(now) or self.is_grey(now) or self.is_slow(now)
+        return not held
+
     def is_cold(self, now: Instant) -> bool:
         """Say whether it has lately started or restarted."""
         return now < self.cold_until
--- a/src/snipecart/gateway/request.py
+++ b/src/snipecart/gateway/request.py
@@ -117,6 +117,10 @@
     port: int
     queued_ms: int
     """How long it is expected to wait there."""
+    load: float = 0.0
+    """Requests taken to be there when it was chosen."""
+    report_ms: int = 0
+    """Age of the load report that this rests on."""
 
 
 @dataclass(frozen=True)
@@ -145,7 +149,7 @@
 class Attempt:
     """Note one send for the log."""
 
-    instance: InstanceId
+    place: Place
     end: SendEnd
     seconds: float
 
--- a/src/snipecart/gateway/server.py
+++ b/src/snipecart/gateway/server.py
@@ -248,10 +248,18 @@
     return to_json({**fields, "may_have_run": failed.may_have_run})
 
 
-def _describe(attempts: tuple[Attempt, ...]) -> str:
-    return " ".join(
-        f"{item.instance}:{item.end}:{int(item.seconds * 1000)}" for item in attempts
-    )
+def _describe(attempts: tuple[Attempt, ...]) -> list[dict[str, Any]]:
+    return [
+        {
+            "instance": item.place.instance,
+            "end": item.end,
+            "ms": int(item.seconds * 1000),
+            "expected_wait_ms": item.place.queued_ms,
+            "load": round(item.place.load, 1),
+            "report_ms": item.place.report_ms,
+        }
+        for item in attempts
+    ]
 
 
 def _apply_limits(server: HTTPServer, source: GatewaySource) -> None:
