Choose by expected answer time with what each server knows, and spread only while calm

Change: a gateway remembers which objects a server answered for; a server that does not know an object costs the time that slow answers take more, and gets it only with a free slot while under 0.7 of the service's slots are taken.

--- a/src/snipecart/gateway/placing/choice.py
+++ b/src/snipecart/gateway/placing/choice.py
@@ -36,11 +36,8 @@
     from ..request import Routed
     from .state import PlacingState
 
-KNOWING = 2
-"""Servers that an object keeps to, besides those that other regions choose for it."""
-
-SPARE_LOAD = 0.5
-"""Load for each slot below which a server has time for objects it doesn't know."""
+CALM = 0.7
+"""Part of a service's slots below which objects may spread to more servers."""
 
 COLD_BURST = 1.0
 """Requests that a gateway may send a cold backend server at once."""
@@ -87,34 +84,35 @@
     servers: list[Server],
     now: Instant,
 ) -> Result[Place, Failure]:
-    """Keep to the servers that know the object, unless another has time to spare."""
+    """Take the server that should answer first, as what it knows tells.
+
+    A server that does not know the object gets it only with a free slot, and only
+    while the service has slots to spare.
+    """
     quick = [item for item in servers if not item.is_slow(now)] or servers
-    knowing = _knowing(state, routed, service, quick)
-    others = [item for item in quick if item not in knowing]
-    for item in knowing:
-        if item.load(now) < item.slots and _bears(state, item, service, now):
-            return Ok(_place(item, service, 0.0, now))
-    for item in others:
-        spare = item.load(now) < item.slots * SPARE_LOAD
-        if spare and _bears(state, item, service, now):
+    key = routed.req.object
+    knowing = [item for item in quick if item is quick[0] or item.knows(key)]
+    usual = _usual(state, routed)
+    strange = max(0.0, state.slow.get(routed.route.name, usual) - usual)
+
+    def cost(item: Server) -> float:
+        known = item is quick[0] or item.knows(key)
+        return item.wait(usual, now) + (0.0 if known else strange)
+
+    calm = _part_busy(quick, now) < CALM
+    for item in sorted(quick if calm else knowing, key=cost):
+        known = item is quick[0] or item.knows(key)
+        if item.wait(usual, now) > 0 or not (known or calm):
+            break
+        if _bears(state, item, service, now):
             return Ok(_place(item, service, 0.0, now))
     return _queue(state, routed, service, knowing, now)
 
 
-def _knowing(
-    state: PlacingState, routed: Routed, service: ServiceName, servers: list[Server]
-) -> list[Server]:
-    """Return the servers that know an object, the own region's choice first."""
-    knowing = servers[:KNOWING]
-    if not (routed.route.affinity and routed.req.object):
-        return knowing
-    sound = {item.instance.instance: item for item in servers}
-    for region in state.here.regions:
-        order = _order_of(state, routed, service, region)
-        first = next((sound[name] for name in order if name in sound), None)
-        if first is not None and first not in knowing:
-            knowing.append(first)
-    return knowing
+def _part_busy(servers: list[Server], now: Instant) -> float:
+    """Return the part of the slots that are taken."""
+    slots = sum(item.slots for item in servers)
+    return sum(min(item.load(now), item.slots) for item in servers) / slots
 
 
 @CHOICES.register("any-room")
@@ -234,6 +232,12 @@
     return server.bucket.take(now)
 
 
+def _usual(state: PlacingState, routed: Routed) -> float:
+    """Return the usual time of a route in seconds, its target before any answer."""
+    route = routed.route
+    return state.usual.get(route.name, route.target_latency_ms / 1000)
+
+
 def _queue(
     state: PlacingState,
     routed: Routed,
@@ -243,11 +247,8 @@
 ) -> Result[Place, Failure]:
     """Wait at the backend server that is free first, if that is soon enough."""
     route = routed.route
-    usual = state.usual.get(route.name, route.target_latency_ms / 1000)
-    waits = {
-        item.instance.instance: usual * (item.load(now) - item.slots + 1) / item.slots
-        for item in servers
-    }
+    usual = _usual(state, routed)
+    waits = {item.instance.instance: item.wait(usual, now) for item in servers}
     allowed = WAIT_RULES.get(state.wait_rule)(state.index.routing, route, usual * 1000)
     slow = state.slow.get(route.name, usual)
     limit = min(allowed / 1000, routed.deadline - now - slow)
--- a/src/snipecart/gateway/placing/outcome.py
+++ b/src/snipecart/gateway/placing/outcome.py
@@ -48,6 +48,8 @@
     ratio = _note_time(state, routed.route, place, sent)
     was_ejected = server.is_ejected(now)
     server.note_end(sent.end, ratio, sent.load is not None, now)
+    if sent.end is SendEnd.ANSWERED:
+        server.note_object(routed.req.object)
     if sent.load is not None:
         server.note_load(sent.load, now)
     if sent.end is SendEnd.MISDIRECTED:
--- a/src/snipecart/gateway/placing/server.py
+++ b/src/snipecart/gateway/placing/server.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from ...core.ids import Instant
@@ -37,6 +39,9 @@
 SLOW_MEMORY = 4.0
 """Seconds after which a slow backend server is tried anew."""
 
+OBJECTS_KNOWN = 32
+"""Objects that a backend server is taken to know."""
+
 FAILED_ENDS = frozenset({SendEnd.NOT_SENT, SendEnd.BROKEN, SendEnd.TIMED_OUT})
 
 
@@ -80,6 +85,8 @@
     """Moving average of time against the usual time."""
     slow_seen: Instant = Instant(-1e9)
     bucket: TokenBucket | None = None
+    objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    """Objects that it answered for lately, the latest last."""
     told: Instant = Instant(0.0)
     """When it became known here."""
 
@@ -93,6 +100,21 @@
         fresh = max(0.0, 1.0 - (now - self.reported) / REPORT_AGE)
         return self.sending + self.others * fresh
 
+    def wait(self, usual: float, now: Instant) -> float:
+        """Estimate the seconds until it takes one more request up."""
+        return max(0.0, usual * (self.load(now) - self.slots + 1) / self.slots)
+
+    def knows(self, key: str) -> bool:
+        """Say whether it answered a request for an object lately."""
+        return key in self.objects
+
+    def note_object(self, key: str) -> None:
+        """Remember an object that it answered for."""
+        self.objects[key] = None
+        self.objects.move_to_end(key)
+        if len(self.objects) > OBJECTS_KNOWN:
+            self.objects.popitem(last=False)
+
     def report_ms(self, now: Instant) -> int:
         """Return the age of the last load report in milliseconds, at most a minute."""
         return int(min(60.0, now - self.reported) * 1000)
