Take requests a second after control answers, if any server is known

Cause: after all processes were killed, gateways waited until control had heard every server, up to 3.5 s, though servers go on and say in their first report whether they leave. Change: a gateway that is not ready asks each 0.15 s, and takes requests 1 s after the first answer if it knows a server.

--- a/src/snipecart/gateway/placing/task.py
+++ b/src/snipecart/gateway/placing/task.py
@@ -84,7 +84,7 @@
 
     index: RouteIndex | None = None
     evacuation_index: int = 0
-    digest: int = 0
+    digest: int = digest_of(())
     """Of all backend servers known here."""
 
 
--- a/src/snipecart/gateway/sync.py
+++ b/src/snipecart/gateway/sync.py
@@ -22,6 +22,7 @@
 from ..messages.discovery import RoutingChanged
 from ..messages.discovery import SyncAnswer
 from ..messages.discovery import SyncRequest
+from ..messages.discovery import digest_of
 from ..wire.codec import Framed
 from ..wire.links import Link
 
@@ -37,8 +38,17 @@
 ANSWERS_FOR = 1.3
 """Seconds after its last answer for which a control process is followed."""
 
-READY_ANYWAY = 3.5
-"""Seconds after the first answer at which an incomplete picture must do."""
+SYNC_SOON = 0.15
+"""Seconds between two requests while this gateway is not ready."""
+
+READY_ANYWAY = 1.0
+"""Seconds after the first answer at which an incomplete list of servers must do.
+
+Control processes that have just started learn all servers only from their reports.
+"""
+
+
+EMPTY_DIGEST = digest_of(())
 
 
 @dataclass(frozen=True)
@@ -126,7 +136,8 @@
             elif isinstance(message, FromPeer):
                 self._take(message, now)
         if now >= self._due:
-            self._due = Instant(now + SYNC_EVERY)
+            soon = not (self.ready or self.leaving)
+            self._due = Instant(now + (SYNC_SOON if soon else SYNC_EVERY))
             self._choose(now)
             for vm in self._peers:
                 self._ask(vm)
@@ -152,7 +163,8 @@
         if vm == self._followed:
             self._source, self._revision = answer.source, answer.revision
             waited = now > self._first_answer + READY_ANYWAY
-            self.complete = self.complete or answer.ready or waited
+            enough = waited and self._placing.view.digest != EMPTY_DIGEST
+            self.complete = self.complete or answer.ready or enough
         elif answer.instances or answer.complete or answer.gone:
             answer = replace(answer, instances=(), gone=(), complete=False)
         self._placing.post(answer)
