--- /dev/null
+++ b/tests/control/test_membership.py
@@ -0,0 +1,91 @@
+"""Test who may join the log, and who makes room."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from snipecart.control import raft
+from snipecart.control.raft import timing
+from snipecart.control.raft.membership import maintain_voters
+from snipecart.control.raft.state import Members
+from snipecart.control.raft.state import Progress
+from snipecart.control.raft.state import RaftState
+from snipecart.control.raft.state import Send
+from snipecart.control.raft.state import step
+from snipecart.core.ids import Instant
+from snipecart.core.states import Role
+from snipecart.messages.commands import Node
+from snipecart.messages.raft import JoinRequest
+
+__all__ = ["raft"]
+
+
+def make_node(vm, number=1, *, added=False):
+    return Node(f"{vm}/{number}", vm, vm, 7000, added)
+
+
+VOTERS = tuple(make_node(vm) for vm in ("a", "b", "c"))
+
+
+@pytest.fixture
+def leader():
+    """Return a leader whose followers have just answered."""
+    state = RaftState("a/1", Random(1), heard_leader=Instant(0.0))
+    state.role, state.leader, state.open_to_vms = Role.LEADER, "a/1", True
+    state.members = [Members(0, VOTERS, ())]
+    state.progress = {node.node: Progress(0, 1, 100.0) for node in VOTERS}
+    return state
+
+
+def join(state, node, now=100.0, *, forwarded=False):
+    return step(state, JoinRequest(node, forwarded), Instant(now))
+
+
+def test_a_new_vm_learns_before_it_votes(leader):
+    join(leader, make_node("d", added=True))
+    assert [node.vm for node in leader.learners] == ["d"]
+    assert leader.voters == VOTERS
+
+
+def test_a_new_vm_is_refused_where_the_settings_list_all(leader):
+    leader.open_to_vms = False
+    join(leader, make_node("d"))
+    assert not leader.learners
+
+
+def test_a_blank_disk_replaces_its_vms_voter_only_once_that_is_silent(leader):
+    join(leader, make_node("b", 2))
+    assert not leader.learners
+    join(leader, make_node("b", 2, added=True), 100.0 + timing.RECENT + 0.1)
+    assert [(node.node, node.added) for node in leader.learners] == [("b/2", False)]
+
+
+def test_followers_hand_a_joiner_on_once(leader):
+    leader.role, leader.leader = Role.FOLLOWER, "b/1"
+    effects = join(leader, make_node("d"))
+    assert effects == [Send("b/1", JoinRequest(make_node("d"), forwarded=True))]
+    assert join(leader, make_node("d"), forwarded=True) == []
+
+
+def test_a_long_silent_voter_makes_room_only_if_a_vm_was_added(leader):
+    later = Instant(100.0 + timing.SILENT + 1)
+    for node in VOTERS[:2]:
+        leader.progress[node.node].confirmed = later
+    maintain_voters(leader, later)
+    assert leader.voters == VOTERS
+    added = make_node("d", added=True)
+    leader.members = [Members(0, (*VOTERS, added), ())]
+    leader.progress[added.node] = Progress(0, 1, later)
+    maintain_voters(leader, later)
+    kept = {node.vm: node.added for node in leader.voters}
+    assert kept == {"a": False, "b": False, "d": False}
+
+
+def test_a_voter_that_is_silent_for_less_stays(leader):
+    added = make_node("d", added=True)
+    leader.members = [Members(0, (*VOTERS, added), ())]
+    leader.progress[added.node] = Progress(0, 1, 114.0)
+    maintain_voters(leader, Instant(114.0))
+    assert len(leader.voters) == 4
