--- a/src/snipecart/gateway/placing/server.py
+++ b/src/snipecart/gateway/placing/server.py
@@ -24,6 +24,12 @@
 FAILURES_TO_EJECT = 2
 """Broken or late answers in a row."""
 
+SILENT = 1.0
+"""Seconds without any answer after which a timeout counts as a failure.
+
+A server that answers others in time is busy, not down.
+"""
+
 RATE_STEP = 0.15
 """Weight of the latest answer in the moving averages."""
 
@@ -79,6 +85,8 @@
     ejections: int = 0
     ejected_until: Instant = Instant(0.0)
     grey_until: Instant = Instant(0.0)
+    answered: Instant = Instant(-1e9)
+    """When it last answered."""
     failing: float = 0.0
     """Moving average of failed sends."""
     slowness: float = 1.0
@@ -151,11 +159,13 @@
 
         A rejection without a load report (``told``) counts as a full server.
         """
-        if end is SendEnd.CANCELLED:
+        busy = end is SendEnd.TIMED_OUT and now < self.answered + SILENT
+        if busy or end is SendEnd.CANCELLED:
             return
         failed = end in FAILED_ENDS or end is SendEnd.REJECTED
         self.failing += RATE_STEP * ((1.0 if failed else 0.0) - self.failing)
         if end is SendEnd.ANSWERED:
+            self.answered = now
             self.failures = 0
             self.ejections = 0
             self._note_time(ratio, now)
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -163,6 +163,20 @@
     assert gateway.place().instance == first.instance
 
 
+def test_a_server_that_is_silent_is_left_alone_and_a_busy_one_is_not():
+    gateway = Gateway(ONE).know(make_instance(1), make_instance(2))
+    routed = gateway.request()
+    first = gateway.place(routed)
+    gateway.end(routed, first)
+    for _ in range(3):
+        gateway.end(routed, gateway.place(routed), SendEnd.TIMED_OUT, 1.5)
+    assert gateway.place(routed).instance == first.instance
+    gateway.now = Instant(gateway.now + 1.5)
+    for _ in range(3):
+        gateway.end(routed, first, SendEnd.TIMED_OUT, 1.5)
+    assert gateway.place(gateway.request()).instance != first.instance
+
+
 def reject(gateway, routed, place):
     gateway.end(routed, place, SendEnd.REJECTED, load=(1, 0, 4))
 
