Bound what leaves a region at once, and believe in fewer gateways only after a while

Ruled out: slower spilling alone, as the return from it would be as quick. Change: at most a tenth of a service's requests leave the region that their order begins with; a lower count of gateways counts after 10 s; gateways plan for 0.8 of a cold rate.

--- a/src/snipecart/gateway/placing/choice.py
+++ b/src/snipecart/gateway/placing/choice.py
@@ -29,6 +29,7 @@
 from .hashing import region_shares
 from .server import Server
 from .server import TokenBucket
+from .spill import SpillMeter
 
 if TYPE_CHECKING:
     from ...core.ids import Instant
@@ -39,6 +40,10 @@
 CALM = 0.7
 """Part of a service's slots below which objects may spread to more servers."""
 
+COLD_PART = 0.8
+"""Part of a cold server's rate that gateways plan to use, as they count each other
+late."""
+
 COLD_BURST = 1.0
 """Requests that a gateway may send a cold backend server at once."""
 
@@ -66,14 +71,23 @@
     now: Instant,
 ) -> Result[Place, Failure]:
     """Return the backend server a request goes to, or why it is refused at once."""
+    meter = state.spills.setdefault(service, SpillMeter())
     first = _find_first(state, routed, service, tried, now)
     if first is not None:
+        meter.note(False, now)
         return Ok(_place(first, service, 0.0, now))
     servers = _candidates(state, routed, service, tried)
     if not servers:
         return Error(NoEndpoint(service))
     sound = _leave_out_failing(servers, now)
-    return CHOICES.get(state.choice)(state, routed, service, sound, now)
+    region = sound[0].instance.region
+    if not meter.allows(now):
+        sound = [item for item in sound if item.instance.region == region]
+    chosen = CHOICES.get(state.choice)(state, routed, service, sound, now)
+    if chosen.is_ok():
+        server = state.servers[chosen.ok.instance]
+        meter.note(server.instance.region != region, now)
+    return chosen
 
 
 @CHOICES.register("warm-first")
@@ -226,7 +240,7 @@
     rate = described.cold_per_s if described is not None else 0.0
     if not rate:
         return True
-    rate /= state.gateways
+    rate *= COLD_PART / state.gateways
     if server.bucket is None or server.bucket.rate != rate:
         server.bucket = TokenBucket(rate, COLD_BURST, COLD_BURST, now)
     return server.bucket.take(now)
--- a/src/snipecart/gateway/placing/state.py
+++ b/src/snipecart/gateway/placing/state.py
@@ -33,11 +33,15 @@
     from ...core.ids import RouteName
     from ...messages.discovery import Instance
     from ...messages.discovery import SyncAnswer
+    from .spill import SpillMeter
 
 
 NEWS_SPREADS = 2.0
 """Seconds until all control processes know what one of them has pushed."""
 
+FEWER_AFTER = 10.0
+"""Seconds after which a lower count of gateways is believed."""
+
 DEPARTED_KEPT = 2048
 """Departed runs remembered."""
 
@@ -64,6 +68,9 @@
     evacuation_index: LogIndex | int = 0
     evacuated: frozenset[ZoneName] = frozenset()
     gateways: int = 1
+    counted: Instant = Instant(-1e9)
+    """When so many gateways were last counted."""
+    spills: dict[ServiceName, SpillMeter] = field(default_factory=dict)
     servers: dict[InstanceId, Server] = field(default_factory=dict)
     departed: dict[InstanceId, UnixMillis] = field(default_factory=dict)
     """Birth of the latest run of an instance that said it is gone."""
@@ -86,7 +93,7 @@
         state.evacuated = frozenset(answer.evacuated)
         state.orders.clear()
         emit(EVACUATION_IN_FORCE, zones=",".join(sorted(state.evacuated)))
-    state.gateways = max(1, answer.gateways)
+    _count_gateways(state, answer.gateways, now)
     for instance in answer.instances:
         take_instance(state, instance, now)
     gone: Iterable[InstanceId] = answer.gone
@@ -101,6 +108,16 @@
         drop_instance(state, name)
 
 
+def _count_gateways(state: PlacingState, count: int, now: Instant) -> None:
+    """Believe in fewer gateways only after a while.
+
+    A control process that has just started has not heard them all.
+    """
+    if count >= state.gateways or now > state.counted + FEWER_AFTER:
+        state.gateways = max(1, count)
+        state.counted = now
+
+
 def _take_routing(state: PlacingState, data: bytes) -> None:
     parsed = parse_routing(data)
     if parsed.is_error():
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -8,6 +8,7 @@
 from snipecart.core.states import EndpointState
 from snipecart.core.states import SendEnd
 from snipecart.gateway.placing.hashing import region_shares
+from snipecart.gateway.placing.state import FEWER_AFTER
 from snipecart.gateway.placing.state import NEWS_SPREADS
 from snipecart.gateway.placing.state import take_departure
 from snipecart.gateway.placing.state import take_sync
@@ -139,6 +140,34 @@
     assert set(gateway.state.servers) == {"i-racks-1", "i-racks-2"}
 
 
+def test_a_control_process_that_counts_too_few_gateways_is_not_believed_at_once():
+    gateway = Gateway(ONE)
+    take_sync(gateway.state, make_sync(gateways=7), 100.0)
+    take_sync(gateway.state, make_sync(gateways=1), 100.2)
+    assert gateway.state.gateways == 7
+    take_sync(gateway.state, make_sync(gateways=5), 100.2 + FEWER_AFTER)
+    assert gateway.state.gateways == 5
+
+
+def test_a_burst_moves_only_a_part_of_a_regions_requests_elsewhere():
+    north = [make_instance(number) for number in range(4)]
+    south = [make_instance(number, "south") for number in range(10, 14)]
+    gateway = Gateway(ONE).know(*north, *south)
+    spilled = placed = 0
+    for turn in range(400):
+        gateway.now = Instant(gateway.now + 0.005)
+        place = gateway.place(gateway.request(key=str(turn % 40)))
+        if not isinstance(place, str):
+            placed += 1
+            region = gateway.state.servers[place.instance].instance.region
+            spilled += region == "south"
+        if turn % 8 == 0:
+            for server in gateway.state.servers.values():
+                server.sending = max(0, server.sending - 1)
+    assert placed > 100
+    assert spilled <= 0.15 * placed
+
+
 def test_a_cold_server_gets_no_more_than_its_part_from_each_gateway():
     gateway = Gateway(ONE).know(make_instance(1, cold=3000, slots=50))
     take_sync(gateway.state, make_sync(gateways=5), gateway.now)
