Tell objects of different routes apart in what a server knows, and give orders a module

Cause: a server that had answered for object f of one route counted as knowing object f of all others, so requests ran there as unknown work though they were chosen as known. Found by reading; its test failed first. An order no longer names a region, as only the own region's is used.

--- a/src/snipecart/gateway/placing/choice.py
+++ b/src/snipecart/gateway/placing/choice.py
@@ -19,14 +19,12 @@
 from ...core.failures import NoEndpoint
 from ...core.failures import ServerSaturated
 from ...core.ids import InstanceId
-from ...core.ids import RegionName
 from ...core.ids import ServiceName
 from ...core.registry import Registry
 from ...core.states import EndpointState
 from ..request import Place
 from .admission import WAIT_RULES
-from .hashing import order_for
-from .hashing import region_shares
+from .order import order_of
 from .server import Server
 from .server import TokenBucket
 from .spill import SpillMeter
@@ -50,9 +48,6 @@
 LEAST_SOUND = 0.6
 """Part of the servers that must be sound for the others to be left alone."""
 
-ORDERS_KEPT = 4096
-"""Orders of backend servers remembered between two changes of them."""
-
 
 Choice = Callable[
     ["PlacingState", "Routed", ServiceName, list[Server], "Instant"],
@@ -104,19 +99,18 @@
     while the service has slots to spare.
     """
     quick = [item for item in servers if not item.is_slow(now)] or servers
-    key = routed.req.object
+    key = routed.object_key
     knowing = [item for item in quick if item is quick[0] or item.knows(key)]
     usual = _usual(state, routed)
-    strange = max(0.0, state.slow.get(routed.route.name, usual) - usual)
+    unknown_costs = max(0.0, state.slow.get(routed.route.name, usual) - usual)
 
     def cost(item: Server) -> float:
-        known = item is quick[0] or item.knows(key)
-        return item.wait(usual, now) + (0.0 if known else strange)
+        wait = item.wait(usual, now)
+        return wait if item in knowing else wait + unknown_costs
 
     calm = _part_busy(quick, now) < CALM
     for item in sorted(quick if calm else knowing, key=cost):
-        known = item is quick[0] or item.knows(key)
-        if item.wait(usual, now) > 0 or not (known or calm):
+        if item.wait(usual, now) > 0:
             break
         if _bears(state, item, service, now):
             return Ok(_place(item, service, 0.0, now))
@@ -155,7 +149,7 @@
 
     Saves most requests the look at all others.
     """
-    for name in _order_of(state, routed, service, state.here.region):
+    for name in order_of(state, routed, service):
         server = state.servers[name]
         if name in tried or not _may_serve(state, server, routed.route):
             continue
@@ -178,7 +172,7 @@
     tried: frozenset[InstanceId],
 ) -> list[Server]:
     """Return the backend servers that may serve a request, the best first."""
-    names = _order_of(state, routed, service, state.here.region)
+    names = order_of(state, routed, service)
     return [
         state.servers[name]
         for name in names
@@ -195,40 +189,6 @@
     )
 
 
-def _order_of(
-    state: PlacingState, routed: Routed, service: ServiceName, region: RegionName
-) -> list[InstanceId]:
-    """Return the order in which a region's gateways prefer a service's servers."""
-    route, req = routed.route, routed.req
-    if not (route.affinity and req.object):
-        return _make_order(state, req.request, service, region)
-    key = f"{route.name}\n{req.object}"
-    order = state.orders.get((key, service, region))
-    if order is None:
-        if len(state.orders) >= ORDERS_KEPT:
-            state.orders.clear()
-        order = _make_order(state, key, service, region)
-        state.orders[(key, service, region)] = order
-    return order
-
-
-def _make_order(
-    state: PlacingState, key: str, service: ServiceName, region: RegionName
-) -> list[InstanceId]:
-    instances = [
-        item.instance
-        for item in state.servers.values()
-        if item.instance.service == service
-    ]
-    slots: dict[RegionName, int] = {}
-    for item in instances:
-        serving = item.state is EndpointState.SERVING
-        if serving and item.zone not in state.evacuated:
-            slots[item.region] = slots.get(item.region, 0) + item.slots
-    shares = region_shares(region, slots, state.here.regions)
-    return [item.instance for item in order_for(key, instances, shares)]
-
-
 def _bears(
     state: PlacingState, server: Server, service: ServiceName, now: Instant
 ) -> bool:
--- a/src/snipecart/gateway/placing/outcome.py
+++ b/src/snipecart/gateway/placing/outcome.py
@@ -49,7 +49,7 @@
     was_ejected = server.is_ejected(now)
     server.note_end(sent.end, ratio, sent.load is not None, now)
     if sent.end is SendEnd.ANSWERED:
-        server.note_object(routed.req.object)
+        server.note_object(routed.object_key)
     if sent.load is not None:
         server.note_load(sent.load, now)
     if sent.end is SendEnd.MISDIRECTED:
--- a/src/snipecart/gateway/placing/state.py
+++ b/src/snipecart/gateway/placing/state.py
@@ -79,7 +79,7 @@
     slow: dict[RouteName, float] = field(default_factory=dict)
     """Time within which nine in ten answers of each route come, in seconds."""
     budgets: dict[ServiceName, RetryBudget] = field(default_factory=dict)
-    orders: dict[tuple[str, ServiceName, RegionName], list[InstanceId]] = field(
+    orders: dict[tuple[str, ServiceName], list[InstanceId]] = field(
         default_factory=dict
     )
 
--- a/src/snipecart/gateway/request.py
+++ b/src/snipecart/gateway/request.py
@@ -98,6 +98,13 @@
         """Return the seconds left."""
         return self.deadline - monotonic()
 
+    @property
+    def object_key(self) -> str:
+        """Name the object among those of all routes; empty where that is no help."""
+        if not (self.route.affinity and self.req.object):
+            return ""
+        return f"{self.route.name}\n{self.req.object}"
+
 
 @dataclass(frozen=True)
 class Placed:
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -265,6 +265,16 @@
     assert gateway.place(gateway.request("/issue/x")) == "server_saturated"
 
 
+def test_what_a_server_knows_of_one_route_says_nothing_of_another():
+    routing = make_routing(make_route("look"), make_route("issue"))
+    gateway = Gateway(routing).know(make_instance(1))
+    routed = gateway.request("/look/x")
+    gateway.end(routed, gateway.place(routed))
+    server = gateway.state.servers["i-racks-1"]
+    assert server.knows(gateway.request("/look/x").object_key)
+    assert not server.knows(gateway.request("/issue/x").object_key)
+
+
 def test_own_region_first_then_free_room_elsewhere():
     shares = region_shares(
         "north", {"north": 10, "south": 50, "east": 60}, ("north", "south", "east")
