Learn that a server is slow from sends that got no answer in time, too

Ruled out by the logs: the rolling restarts of gateways before, a change of leader. Change: a send that timed out or was cancelled counts with its time, if it had a free slot. Its test failed first.

--- a/src/snipecart/gateway/placing/outcome.py
+++ b/src/snipecart/gateway/placing/outcome.py
@@ -30,6 +30,9 @@
 SLOW_UP, SLOW_DOWN = 1.09, 0.99
 """Factors that hold a time at which nine in ten answers are quicker."""
 
+TELLING = frozenset({SendEnd.ANSWERED, SendEnd.TIMED_OUT, SendEnd.CANCELLED})
+"""Ends whose time tells how quick a server is, at the least how slow."""
+
 LEAST_DELAY = 0.05
 """Seconds over the usual time below which an answer says nothing of slowness."""
 
@@ -67,8 +70,11 @@
 
 def _note_time(state: PlacingState, route: Route, place: Place, sent: Sent) -> float:
     """Learn a route's usual time; return this send's time against it."""
-    if sent.end is not SendEnd.ANSWERED or place.queued_ms:
+    if place.queued_ms or sent.end not in TELLING:
         return 1.0
+    if sent.end is not SendEnd.ANSWERED:
+        usual = state.usual.get(route.name, 0.0)
+        return sent.seconds / usual if usual > 0 else 1.0
     slow = state.slow.setdefault(route.name, sent.seconds)
     over = sent.seconds > slow
     state.slow[route.name] = slow * (SLOW_UP if over else SLOW_DOWN)
--- a/src/snipecart/gateway/placing/server.py
+++ b/src/snipecart/gateway/placing/server.py
@@ -159,6 +159,8 @@
 
         A rejection without a load report (``told``) counts as a full server.
         """
+        if end is not SendEnd.ANSWERED and ratio > SLOW_RATIO:
+            self._note_time(ratio, now)
         busy = end is SendEnd.TIMED_OUT and now < self.answered + SILENT
         if busy or end is SendEnd.CANCELLED:
             return
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -199,6 +199,7 @@
     gateway.end(routed, first)
     for _ in range(3):
         gateway.end(routed, gateway.place(routed), SendEnd.TIMED_OUT, 1.5)
+        gateway.end(routed, gateway.place(routed))
     assert gateway.place(routed).instance == first.instance
     gateway.now = Instant(gateway.now + 1.5)
     for _ in range(3):
@@ -206,6 +207,21 @@
     assert gateway.place(gateway.request()).instance != first.instance
 
 
+def test_a_server_whose_answers_only_come_too_late_loses_its_objects():
+    gateway = Gateway(ONE).know(*(make_instance(number) for number in range(4)))
+    for turn in range(40):
+        routed = gateway.request(key=str(turn % 8))
+        gateway.end(routed, gateway.place(routed))
+    slow = gateway.place(gateway.request(key="1")).instance
+    for end in (SendEnd.TIMED_OUT, SendEnd.CANCELLED) * 6:
+        for key in "0123":
+            routed = gateway.request(key=key)
+            place = gateway.place(routed)
+            late = place.instance == slow
+            gateway.end(routed, place, end if late else SendEnd.ANSWERED, 1.5 * late)
+    assert gateway.place(gateway.request(key="1")).instance != slow
+
+
 def reject(gateway, routed, place):
     gateway.end(routed, place, SendEnd.REJECTED, load=(1, 0, 4))
 
