Wait for a leader before a test fleet submits its text

Ruled out: a fault of the log; the processes that had started formed one. Change: the harness waits for a leader, up to its usual limit, then submits.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -87,6 +87,7 @@
             self.init(name)
         for name in (*self.of("control"), *self.of("entry"), *self.of("standin")):
             self.start(name)
+        wait_for(self.leader)
         assert self.submit(self.text)["in_force"]
         wait_for(self.is_ready)
 
