--- a/src/snipecart/gateway/metrics.py
+++ b/src/snipecart/gateway/metrics.py
@@ -30,6 +30,3 @@
 ROUTING_VERSION = Gauge(
     "snipecart_gateway_routing_version", "Version of the routing table in force here"
 )
-EVENTS_DROPPED = Counter(
-    "snipecart_log_lines_dropped", "Log lines left out to bound their volume"
-)
--- a/src/snipecart/platform/settings.py
+++ b/src/snipecart/platform/settings.py
@@ -32,8 +32,6 @@
 METRICS = 2
 """Offset into the internal ports of the metrics page."""
 
-SEED_PORTS = 2
-
 
 @dataclass(frozen=True)
 class Address:
