Take the list of control processes from the newest members of the log

Cause: a gateway relinked to the control processes that any answer named. One that lagged behind made it close a link that another's next answer opened again. Ruled out: believing the followed one alone; it may be the one that lags, and its links would then hide the others from this gateway. Change: an answer carries the committed log entry that named the members, and a gateway takes higher entries only. Beside it: calls of the platform get what was asked as one type, and a drain counts idle threads by cheroot's public fields. Before: test_a_lagging_control_process_cuts_no_link failed. After: it holds.

--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -121,7 +121,7 @@
 def make_answer(servers: int) -> SyncAnswer:
     """Return an answer with all backend servers."""
     everyone = tuple(make_instance(number) for number in range(servers))
-    return SyncAnswer("s", 9, True, everyone, (), 1, b"", 0, (), (), 7, True)
+    return SyncAnswer("s", 9, True, everyone, (), 1, b"", 0, (), (), 0, 7, True)
 
 
 @slope("complete answer to a gateway on the wire", "bytes", 36, 108, 234, 930)
--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -79,7 +79,9 @@
     evacuation_index: LogIndex = LogIndex(0)
     evacuated: tuple[ZoneName, ...] = ()
     voters: tuple[Node, ...] = ()
-    learners: tuple[Node, ...] = ()
+    members: tuple[Node, ...] = ()
+    """Voters and learners that a committed entry of the log named."""
+    members_index: LogIndex = LogIndex(0)
 
 
 Handler = Callable[["DiscoveryTask", Any, Instant], None]
@@ -281,7 +283,8 @@
             adopted.routing if newer_routing else b"",
             adopted.evacuation_index,
             adopted.evacuated if newer_zones else (),
-            (*adopted.voters, *adopted.learners),
+            adopted.members,
+            adopted.members_index,
             len(task.gateways.live(now)),
             ready,
         )
--- a/src/snipecart/control/node.py
+++ b/src/snipecart/control/node.py
@@ -155,13 +155,15 @@
     def publish(self) -> None:
         """Tell what the log holds, if it has changed."""
         machine, before = self.machine, self.adopted
+        members = self.state.committed_members
         adopted = Adopted(
             machine.routing_version,
             machine.routing,
             machine.evacuation_index,
             tuple(machine.evacuated),
             self.state.voters,
-            self.state.learners,
+            (*members.voters, *members.learners),
+            members.index,
         )
         if adopted == before:
             return
--- a/src/snipecart/control/raft/state.py
+++ b/src/snipecart/control/raft/state.py
@@ -185,6 +185,12 @@
         """Return who learns the log without a vote."""
         return self.members[-1].learners if self.members else ()
 
+    @property
+    def committed_members(self) -> Members:
+        """Return the members that no later leader can take back."""
+        committed = [item for item in self.members if item.index <= self.commit]
+        return committed[-1] if committed else Members(LogIndex(0), (), ())
+
     @property
     def voter_ids(self) -> set[NodeId]:
         """Return the ids of those who vote now."""
--- a/src/snipecart/gateway/factory.py
+++ b/src/snipecart/gateway/factory.py
@@ -108,6 +108,6 @@
     pause = threading.Event()
     while monotonic() < began + limit:
         pool = server.requests
-        if pool.idle >= len(pool._threads) and not pool.qsize:
+        if pool.idle >= pool.min and not pool.qsize:
             return
         pause.wait(DRAIN_LOOK)
--- a/src/snipecart/gateway/sync.py
+++ b/src/snipecart/gateway/sync.py
@@ -101,6 +101,7 @@
         self._peers: dict[VmName, Peer] = {}
         self._followed = VmName("")
         self._source, self._revision = "", 0
+        self._control_index = LogIndex(0)
         self._first_answer: Instant | None = None
         self._due = Instant(0.0)
 
@@ -168,7 +169,8 @@
         elif answer.instances or answer.complete or answer.gone:
             answer = replace(answer, instances=(), gone=(), complete=False)
         self._placing.post(answer)
-        if answer.control:
+        if answer.control_index > self._control_index:
+            self._control_index = answer.control_index
             self._relink(answer.control)
 
     def _choose(self, now: Instant) -> None:
--- a/src/snipecart/messages/discovery.py
+++ b/src/snipecart/messages/discovery.py
@@ -7,6 +7,7 @@
 
 from ..core.ids import EndpointId
 from ..core.ids import InstanceId
+from ..core.ids import LogIndex
 from ..core.ids import MemberId
 from ..core.ids import Millis
 from ..core.ids import RegionName
@@ -93,6 +94,8 @@
     evacuation_index: int
     evacuated: tuple[ZoneName, ...]
     control: tuple[Node, ...]
+    control_index: LogIndex
+    """Entry of the log that named these control processes."""
     gateways: int
     ready: bool
     """Whether this process has heard every backend server since its start."""
--- a/src/snipecart/platform/calls.py
+++ b/src/snipecart/platform/calls.py
@@ -5,7 +5,7 @@
 import json
 from collections.abc import Callable
 from concurrent.futures import Future
-from functools import partial
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
 from urllib.parse import parse_qs
@@ -70,7 +70,19 @@
 }
 
 Body = bytes
-Call = Callable[["ControlCalls", str, bytes], Result[Body, Failure]]
+
+
+@dataclass(frozen=True)
+class Asked:
+    """Hold what a caller sent with a call."""
+
+    name: str
+    """Last part of the path, where the call has one of its own."""
+    query: str
+    body: bytes
+
+
+Call = Callable[["ControlCalls", Asked], Result[Body, Failure]]
 
 CALLS: Registry[str, Call] = Registry("calls of the platform")
 
@@ -85,13 +97,12 @@
     def __call__(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
         """Answer one call."""
         path = environ.get("PATH_INFO", "")
-        call, rest = _find(environ["REQUEST_METHOD"], path)
+        call, name = _find(environ["REQUEST_METHOD"], path)
         if call is None:
             return _write(start_response, 404, b"{}", [])
-        if call is CALLS.get(f"GET {names.RESOLVE}"):
-            rest = environ.get("QUERY_STRING", "")
+        query = environ.get("QUERY_STRING", "")
         body = _read_body(environ)
-        done = body.bind(partial(call, self, rest))
+        done = body.bind(lambda data: call(self, Asked(name, query, data)))
         if done.is_ok():
             return _write(start_response, 200, done.ok, [])
         return self._refuse(start_response, path, done.error)
@@ -175,15 +186,15 @@
 
 
 @CALLS.register(f"POST {names.PUT_ROUTING}")
-def put_routing(calls: ControlCalls, rest: str, body: bytes) -> Result[Body, Failure]:
+def put_routing(calls: ControlCalls, asked: Asked) -> Result[Body, Failure]:
     """Offer a routing table to the log."""
-    routing = decode_manifest(body)
+    routing = decode_manifest(asked.body)
     if routing.is_error():
         faults = getattr(routing.error, "faults", ())
         said = "; ".join(f"{fault.path} {fault.reason}" for fault in faults[:3])
         emit(ROUTING_REFUSED, reason=routing.error.reason, faults=said)
         return routing
-    offered = PutRouting(routing.ok.version, dump_routing(routing.ok), body)
+    offered = PutRouting(routing.ok.version, dump_routing(routing.ok), asked.body)
     answer = calls.ask(offered)
     if answer.is_error():
         return answer
@@ -194,7 +205,7 @@
 
 
 @CALLS.register(f"GET {names.GET_ROUTING}")
-def get_routing(calls: ControlCalls, rest: str, body: bytes) -> Result[Body, Failure]:
+def get_routing(calls: ControlCalls, asked: Asked) -> Result[Body, Failure]:
     """Return the newest routing table as the operator sent it."""
     read = calls.ask(ReadRouting())
     if read.is_error():
@@ -203,17 +214,15 @@
 
 
 @CALLS.register(f"POST {names.EVACUATE}")
-def evacuate(calls: ControlCalls, rest: str, body: bytes) -> Result[Body, Failure]:
+def evacuate(calls: ControlCalls, asked: Asked) -> Result[Body, Failure]:
     """Keep requests away from a zone."""
-    return _set_evacuation(calls, rest, evacuated=True)
+    return _set_evacuation(calls, asked.name, evacuated=True)
 
 
 @CALLS.register(f"POST {names.RETURN}")
-def end_evacuation(
-    calls: ControlCalls, rest: str, body: bytes
-) -> Result[Body, Failure]:
+def end_evacuation(calls: ControlCalls, asked: Asked) -> Result[Body, Failure]:
     """Let requests back to a zone."""
-    return _set_evacuation(calls, rest, evacuated=False)
+    return _set_evacuation(calls, asked.name, evacuated=False)
 
 
 def _set_evacuation(
@@ -226,31 +235,29 @@
 
 
 @CALLS.register(f"POST {names.REPORT}")
-def take_report(calls: ControlCalls, rest: str, body: bytes) -> Result[Body, Failure]:
+def take_report(calls: ControlCalls, asked: Asked) -> Result[Body, Failure]:
     """Take a backend server's report."""
-    instance = decode_report(rest, body, calls.given.regions)
+    instance = decode_report(asked.name, asked.body, calls.given.regions)
     if instance.is_error():
-        emit(REPORT_MALFORMED, instance=rest, detail=instance.error.detail)
+        emit(REPORT_MALFORMED, instance=asked.name, detail=instance.error.detail)
         return instance
     return calls.report(instance.ok, gone=False)
 
 
 @CALLS.register(f"POST {names.LEAVE}")
-def take_departure(
-    calls: ControlCalls, rest: str, body: bytes
-) -> Result[Body, Failure]:
+def take_departure(calls: ControlCalls, asked: Asked) -> Result[Body, Failure]:
     """Take a backend server's word that it is gone."""
-    instance = decode_departure(InstanceId(rest), body)
+    instance = decode_departure(InstanceId(asked.name), asked.body)
     if instance.is_error():
-        emit(REPORT_MALFORMED, instance=rest, detail=instance.error.detail)
+        emit(REPORT_MALFORMED, instance=asked.name, detail=instance.error.detail)
         return instance
     return calls.report(instance.ok, gone=True)
 
 
 @CALLS.register(f"GET {names.RESOLVE}")
-def resolve(calls: ControlCalls, rest: str, body: bytes) -> Result[Body, Failure]:
+def resolve(calls: ControlCalls, asked: Asked) -> Result[Body, Failure]:
     """Name the gateways that a client should use."""
-    query = parse_qs(rest)
+    query = parse_qs(asked.query)
     region = RegionName(query.get("region", [""])[0])
     zone = ZoneName(query.get("zone", [""])[0])
     chosen = named_gateways(calls.tasks.discovery.named, region, zone, LOOKUP_MOST)
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -35,6 +35,7 @@
         "evacuation_index": 0,
         "evacuated": (),
         "control": (),
+        "control_index": 0,
         "gateways": 3,
         "ready": True,
     }
--- /dev/null
+++ b/tests/gateway/test_sync.py
@@ -0,0 +1,106 @@
+"""Test how a gateway follows the control processes, with played links."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from types import SimpleNamespace
+
+import pytest
+
+from snipecart.core.ids import Instant
+from snipecart.core.states import MemberState
+from snipecart.gateway import sync as sync_module
+from snipecart.gateway.sync import FromPeer
+from snipecart.gateway.sync import SyncTask
+from snipecart.messages.commands import Node
+from snipecart.messages.discovery import Gateway
+from snipecart.messages.discovery import SyncAnswer
+from snipecart.program.settings import ControlPeer
+
+ANSWER = SyncAnswer("s", 1, False, (), (), 0, b"", 0, (), (), 0, 1, True)
+
+
+class PlayedLink:
+    """Note what would be sent over a link."""
+
+    def __init__(self, name, host, port, source, sink):
+        self.name, self.sent, self.stopped = name, [], False
+
+    def start(self):
+        """Open nothing."""
+
+    def post(self, framed):
+        """Note a message."""
+        self.sent.append(framed.message)
+
+    def stop(self, grace):
+        """Note that the link was closed."""
+        self.stopped = True
+
+
+class PlayedPlacing:
+    """Note what a gateway is told."""
+
+    def __init__(self):
+        self.view = SimpleNamespace(index=None, evacuation_index=0, digest=0)
+        self.taken = []
+
+    def post(self, message):
+        """Note a message."""
+        self.taken.append(message)
+
+
+@pytest.fixture
+def sync(monkeypatch):
+    """Return a sync task with two seeds, started without its thread."""
+    monkeypatch.setattr(sync_module, "Link", PlayedLink)
+    seeds = tuple(
+        ControlPeer(vm=name, host=name, port=1, http_port=2) for name in ("c1", "c2")
+    )
+    gateway = Gateway("g1", "vm1", "north", "north-a", "h:1", MemberState.STARTING)
+    task = SyncTask(gateway, seeds, "h", PlayedPlacing())
+    task._relink(())
+    return task
+
+
+def tell(task, vm, now, **more):
+    """Hand an answer of a control process to a sync task."""
+    task.handle([FromPeer(vm, replace(ANSWER, **more))], Instant(now))
+
+
+def nodes(*names):
+    """Return control processes as the log names them."""
+    return tuple(Node(f"{name}/1", name, name, 1) for name in names)
+
+
+def test_newer_members_of_the_log_are_linked(sync):
+    tell(sync, "c1", 1.0, control=nodes("c1", "c2", "c3"), control_index=7)
+    assert set(sync._peers) == {"c1", "c2", "c3"}
+
+
+def test_a_lagging_control_process_cuts_no_link(sync):
+    tell(sync, "c1", 1.0, control=nodes("c1", "c2", "c3"), control_index=7)
+    link = sync._peers["c3"].link
+    tell(sync, "c2", 1.1, control=nodes("c1", "c2"), control_index=3)
+    assert sync._peers["c3"].link is link
+    assert not link.stopped
+
+
+def test_a_member_that_the_log_dropped_is_let_go(sync):
+    tell(sync, "c1", 1.0, control=nodes("c1", "c2", "c3"), control_index=7)
+    link = sync._peers["c3"].link
+    tell(sync, "c1", 1.1, control=nodes("c1", "c2"), control_index=9)
+    assert link.stopped
+    assert "c3" not in sync._peers
+
+
+def test_only_the_followed_control_process_changes_what_is_known_of_servers(sync):
+    tell(sync, "c1", 1.0)
+    tell(sync, "c2", 1.01)
+    tell(sync, "c2", 2.0)
+    followed = sync._followed
+    other = ({"c1", "c2"} - {followed}).pop()
+    sync._placing.taken.clear()
+    tell(sync, other, 2.1, gone=("i-1",))
+    tell(sync, followed, 2.1, gone=("i-2",))
+    assert [item.gone for item in sync._placing.taken] == [(), ("i-2",)]
