--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -5,16 +5,20 @@
 import socket
 import struct
 import threading
+from dataclasses import fields
 from random import Random
 
 import pytest
+from pydantic.alias_generators import to_camel
 
+from snipecart.core.message import MESSAGES
 from snipecart.messages.commands import ClaimKey
 from snipecart.messages.commands import Entry
 from snipecart.messages.commands import Noop
 from snipecart.messages.members import FetchText
 from snipecart.messages.members import TextAnswer
 from snipecart.messages.raft import AppendRequest
+from snipecart.wire.codec import SCHEMA
 from snipecart.wire.codec import Framed
 from snipecart.wire.codec import decode
 from snipecart.wire.codec import encode
@@ -68,3 +72,9 @@
         link.stop()
     finally:
         listener.stop()
+
+
+def test_the_schema_names_every_field_of_every_message():
+    for name in MESSAGES:
+        said = {to_camel(item.name) for item in fields(MESSAGES.get(name))}
+        assert said == set(SCHEMA.Envelope.schema.fields[name].schema.fieldnames), name
