Take an overdue answer for a sign of a slow server before any timeout

Change: each send knows when its answer is overdue; a server with an overdue one is slow. A second late answer in a row weighs half. A server that was slow is tried by one request at a time, and one answer in time clears it.

--- a/src/snipecart/gateway/placing/choice.py
+++ b/src/snipecart/gateway/placing/choice.py
@@ -70,7 +70,7 @@
     first = _find_first(state, routed, service, tried, now)
     if first is not None:
         meter.note(False, now)
-        return Ok(_place(first, service, 0.0, now))
+        return Ok(_place(state, routed, first, 0.0, now))
     servers = _candidates(state, routed, service, tried)
     if not servers:
         return Error(NoEndpoint(service))
@@ -113,7 +113,7 @@
         if item.wait(usual, now) > 0:
             break
         if _bears(state, item, service, now):
-            return Ok(_place(item, service, 0.0, now))
+            return Ok(_place(state, routed, item, 0.0, now))
     return _queue(state, routed, service, knowing, now)
 
 
@@ -134,7 +134,7 @@
     """Take the first server with a free slot, whatever it knows; the baseline."""
     for item in servers:
         if item.load(now) < item.slots and _bears(state, item, service, now):
-            return Ok(_place(item, service, 0.0, now))
+            return Ok(_place(state, routed, item, 0.0, now))
     return _queue(state, routed, service, servers, now)
 
 
@@ -232,7 +232,7 @@
         if wait > limit:
             break
         if _bears(state, item, service, now):
-            return Ok(_place(item, service, max(0.0, wait), now))
+            return Ok(_place(state, routed, item, max(0.0, wait), now))
     return Error(ServerSaturated(_explain(ranked[0], waits, limit, now)))
 
 
@@ -248,10 +248,20 @@
     )
 
 
-def _place(server: Server, service: ServiceName, wait: float, now: Instant) -> Place:
+def _place(
+    state: PlacingState, routed: Routed, server: Server, wait: float, now: Instant
+) -> Place:
     load = server.load(now)
-    server.sending += 1
+    due = server.due_after(routed.object_key, _usual(state, routed), wait, now)
+    server.begin_send(due)
     host, _, port = server.instance.endpoint.rpartition(":")
-    name = server.instance.instance
-    queued = int(wait * 1000)
-    return Place(service, name, host, int(port), queued, load, server.report_ms(now))
+    return Place(
+        server.instance.service,
+        server.instance.instance,
+        host,
+        int(port),
+        int(wait * 1000),
+        load,
+        server.report_ms(now),
+        due,
+    )
--- a/src/snipecart/gateway/placing/outcome.py
+++ b/src/snipecart/gateway/placing/outcome.py
@@ -47,7 +47,7 @@
     server = state.servers.get(place.instance)
     if server is None:
         return
-    server.sending = max(0, server.sending - 1)
+    server.end_send(place.due)
     ratio = _note_time(state, routed.route, place, sent)
     was_ejected = server.is_ejected(now)
     server.note_end(sent.end, ratio, sent.load is not None, now)
--- a/src/snipecart/gateway/placing/server.py
+++ b/src/snipecart/gateway/placing/server.py
@@ -33,6 +33,9 @@
 RATE_STEP = 0.15
 """Weight of the latest answer in the moving averages."""
 
+SLOW_STEP = 0.5
+"""Weight of a late answer that follows another in the average of times."""
+
 GREY_RATE = 0.35
 """Part of failed sends above which a backend server is left alone."""
 
@@ -42,8 +45,14 @@
 SLOW_RATIO = 3.5
 """Time against its kind's usual time above which a backend server is slow."""
 
-SLOW_MEMORY = 4.0
-"""Seconds after which a slow backend server is tried anew."""
+SLOW_MEMORY = 2.0
+"""Seconds after which a slow backend server is tried anew, by one request at a time."""
+
+OVERDUE_RATIO = 2.5
+"""Time against its kind's usual time above which an answer is overdue."""
+
+OVERDUE_UNKNOWN = 2.5
+"""Factor by which that time is longer for an object that the server does not know."""
 
 OBJECTS_KNOWN = 32
 """Objects that a backend server is taken to know."""
@@ -76,8 +85,8 @@
 
     instance: Instance
     cold_until: Instant
-    sending: int = 0
-    """Requests of this gateway that are there now."""
+    due: list[Instant] = field(default_factory=list)
+    """When the answers to this gateway's requests there are overdue."""
     others: float = 0.0
     """Requests of other gateways at the last report."""
     reported: Instant = Instant(-1e9)
@@ -92,6 +101,8 @@
     slowness: float = 1.0
     """Moving average of time against the usual time."""
     slow_seen: Instant = Instant(-1e9)
+    was_late: bool = False
+    """Whether the latest answer was late, or late not to come."""
     bucket: TokenBucket | None = None
     objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
     """Objects that it answered for lately, the latest last."""
@@ -103,6 +114,25 @@
         """Return how many requests it runs at a time."""
         return max(1, self.instance.slots)
 
+    @property
+    def sending(self) -> int:
+        """Return how many requests of this gateway are there now."""
+        return len(self.due)
+
+    def begin_send(self, due: Instant) -> None:
+        """Note a request that is sent there, and when its answer is overdue."""
+        self.due.append(due)
+
+    def end_send(self, due: Instant) -> None:
+        """Note that a request sent there has ended."""
+        if due in self.due:
+            self.due.remove(due)
+
+    def due_after(self, key: str, usual: float, wait: float, now: Instant) -> Instant:
+        """Return when the answer to one more request is overdue."""
+        ratio = OVERDUE_RATIO * (1.0 if self.knows(key) else OVERDUE_UNKNOWN)
+        return Instant(now + wait + ratio * usual)
+
     def load(self, now: Instant) -> float:
         """Estimate how many requests are there, whoever sent them."""
         fresh = max(0.0, 1.0 - (now - self.reported) / REPORT_AGE)
@@ -136,8 +166,15 @@
         return now < self.grey_until
 
     def is_slow(self, now: Instant) -> bool:
-        """Say whether it lately took much longer than usual."""
-        return self.slowness > SLOW_RATIO and now < self.slow_seen + SLOW_MEMORY
+        """Say whether it takes much longer than usual, as far as is known.
+
+        One that was slow is tried anew after a while, by one request at a time.
+        """
+        if any(due < now for due in self.due):
+            return True
+        if self.slowness <= SLOW_RATIO:
+            return False
+        return now < self.slow_seen + SLOW_MEMORY or self.sending > 0
 
     def is_sound(self, now: Instant) -> bool:
         """Say whether nothing is held against it."""
@@ -181,8 +218,13 @@
             self.grey_until = Instant(now + GREY_EJECTION)
 
     def _note_time(self, ratio: float, now: Instant) -> None:
-        self.slowness += RATE_STEP * (ratio - self.slowness)
-        if ratio > SLOW_RATIO:
+        if self.slowness > SLOW_RATIO >= ratio and now > self.slow_seen + SLOW_MEMORY:
+            self.slowness = 1.0
+        late = ratio > SLOW_RATIO
+        step = SLOW_STEP if late and self.was_late else RATE_STEP
+        self.slowness += step * (ratio - self.slowness)
+        self.was_late = late
+        if late:
             self.slow_seen = now
 
     def _note_failure(self, end: SendEnd, now: Instant) -> None:
--- a/src/snipecart/gateway/request.py
+++ b/src/snipecart/gateway/request.py
@@ -8,6 +8,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from ..core.ids import Instant
 from ..core.task import monotonic
 
 if TYPE_CHECKING:
@@ -15,7 +16,6 @@
 
     from ..core.failures import Failure
     from ..core.ids import InstanceId
-    from ..core.ids import Instant
     from ..core.ids import ObjectKey
     from ..core.ids import RequestId
     from ..core.ids import RoutingVersion
@@ -128,6 +128,8 @@
     """Requests taken to be there when it was chosen."""
     report_ms: int = 0
     """Age of the load report that this rests on."""
+    due: Instant = Instant(0.0)
+    """When its answer is overdue."""
 
 
 @dataclass(frozen=True)
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -164,7 +164,7 @@
             spilled += region == "south"
         if turn % 8 == 0:
             for server in gateway.state.servers.values():
-                server.sending = max(0, server.sending - 1)
+                server.due = server.due[1:]
     assert placed > 100
     assert spilled <= 0.15 * placed
 
--- /dev/null
+++ b/tests/gateway/test_slow.py
@@ -0,0 +1,60 @@
+"""Play servers that turn slow, and look at what callers get."""
+
+from __future__ import annotations
+
+import pytest
+
+from snipecart.core.ids import Instant
+from tests.gateway.played import WARM_CAPACITY
+from tests.gateway.played import Play
+from tests.gateway.played import Slow
+from tests.gateway.world import Gateway
+from tests.gateway.world import make_instance
+from tests.gateway.world import make_route
+from tests.gateway.world import make_routing
+
+ONE = make_routing(make_route())
+
+
+def gateway_that_knows_its_times(servers=4):
+    """Return a gateway that has had answers of 0.2 s to eight objects."""
+    gateway = Gateway(ONE).know(*(make_instance(number) for number in range(servers)))
+    for turn in range(40):
+        routed = gateway.request(key=str(turn % 8))
+        gateway.end(routed, gateway.place(routed))
+    return gateway
+
+
+@pytest.mark.parametrize("slow", [Slow(2, 5.0, 8, 15), Slow(4, 5.0, 8, 15)])
+@pytest.mark.parametrize("load", [0.35, 0.5])
+def test_few_requests_meet_their_timeout_at_slow_servers(slow, load):
+    tally = Play(load * WARM_CAPACITY, slow=slow).run().between(8, 15)
+    assert tally.part(tally.timed_out) < 0.06
+    assert tally.part(tally.in_aim) > 0.83
+
+
+def test_a_server_whose_answers_are_overdue_is_passed_over_before_any_has_come():
+    gateway = gateway_that_knows_its_times()
+    waiting = gateway.place(gateway.request(key="1"))
+    gateway.now = Instant(gateway.now + 0.3)
+    assert gateway.place(gateway.request(key="1")).instance == waiting.instance
+    gateway.now = Instant(gateway.now + 0.3)
+    assert gateway.place(gateway.request(key="1")).instance != waiting.instance
+
+
+def test_a_server_that_was_slow_is_tried_by_one_request_at_a_time():
+    gateway = gateway_that_knows_its_times()
+    routed = gateway.request(key="1")
+    slow = gateway.place(routed)
+    server = gateway.state.servers[slow.instance]
+    for _ in range(4):
+        gateway.end(routed, slow, seconds=1.2)
+    assert gateway.place(gateway.request(key="1")).instance != slow.instance
+    gateway.now = Instant(gateway.now + 3.0)
+    server.due.clear()
+    probe = gateway.place(routed)
+    assert probe.instance == slow.instance
+    assert gateway.place(gateway.request(key="1")).instance != slow.instance
+    gateway.end(routed, probe, seconds=0.2)
+    places = [gateway.place(gateway.request(key="1")) for _ in range(2)]
+    assert [place.instance for place in places] == [slow.instance] * 2
