End a departed server at the gateways also where its birth is not told

Ruled out: a lost push or confirmation (the report is confirmed only by live gateways, and the one at fault was live); a list that lags (possible too, see below). Change: a departure without a birth ends the run that a gateway holds; a control process takes late reports of a run that left before it was known for stale, and names the birth in repeated departures. A gateway remembers what was last told of servers it dropped, so that an older report never brings back one that leaves.

--- a/src/snipecart/control/discovery/table.py
+++ b/src/snipecart/control/discovery/table.py
@@ -13,12 +13,13 @@
 from ...core.ids import Instant
 from ...core.ids import Millis
 from ...core.states import EndpointState
+from ...messages.discovery import LAST_SEQUENCE
+from ...messages.discovery import digest_of
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from ...messages.discovery import Instance
-from ...messages.discovery import digest_of
 
 SILENCE = 8.0
 """Seconds without a report after which an instance counts as gone."""
@@ -26,11 +27,14 @@
 TOMBSTONE_KEPT = 120.0
 """Seconds for which late reports of a gone instance are known as such."""
 
+FIRST_SEQUENCE = 1
+"""Sequence of a run's first report."""
+
 COLD_TOLERANCE = 0.5
 """Seconds by which two reports of the same cold spell may differ."""
 
-LAST_SEQUENCE = 2**63
-"""Sequence of a run that has said it is gone; nothing of it comes later."""
+LATE_REPORTS = 10.0
+"""Seconds for which reports of a run of unknown birth that is gone may still come."""
 
 
 class ReportVerdict(StrEnum):
@@ -54,6 +58,8 @@
     """Hold what a report was and what it changed."""
 
     verdict: ReportVerdict
+    said: Instance
+    """The report, a departure with the birth of the run that it names."""
     changes: tuple[Change, ...] = ()
 
 
@@ -92,20 +98,20 @@
         """Take a report; one of an earlier run or sequence changes nothing."""
         if gone:
             return self._depart(said, now)
-        if self._is_stale(said):
-            return Judged(ReportVerdict.STALE)
+        if self._is_stale(said) or self._is_of_the_gone(said, now):
+            return Judged(ReportVerdict.STALE, said)
         replaced = self._replace_holder(said, now)
         known = self.known.get(said.instance)
         cold_until = Instant(now + said.cold / 1000)
         if known is not None and _is_repeated(known, said, cold_until, now):
             known.heard = now
             known.instance = replace(said, cold=known.instance.cold)
-            return Judged(ReportVerdict.REPEATED, replaced)
+            return Judged(ReportVerdict.REPEATED, said, replaced)
         self.revision += 1
         self.known[said.instance] = Known(said, cold_until, now, self.revision)
         self.gone.pop(said.instance, None)
         self.holders[said.endpoint] = said.instance
-        return Judged(ReportVerdict.NEWS, (*replaced, Change(said, gone=False)))
+        return Judged(ReportVerdict.NEWS, said, (*replaced, Change(said, gone=False)))
 
     def expire(self, now: Instant) -> list[Change]:
         """Bury the silent, and forget the long buried."""
@@ -147,6 +153,19 @@
             return False
         return 0 < said.born < holder.instance.born
 
+    def _is_of_the_gone(self, said: Instance, now: Instant) -> bool:
+        """Say whether a report is of a run that left before it was known here.
+
+        The first report of another run of that id tells itself by its sequence.
+        """
+        tomb = self.gone.get(said.instance)
+        if tomb is None or tomb.instance.born or not said.born:
+            return False
+        late = said.sequence > FIRST_SEQUENCE and now < tomb.buried + LATE_REPORTS
+        if late:
+            tomb.instance = replace(tomb.instance, born=said.born)
+        return late
+
     def _latest(self, instance: InstanceId) -> Instance | None:
         if instance in self.known:
             return self.known[instance].instance
@@ -156,14 +175,14 @@
     def _depart(self, said: Instance, now: Instant) -> Judged:
         last = self._latest(said.instance)
         if last is not None and 0 < said.born < last.born:
-            return Judged(ReportVerdict.STALE)
+            return Judged(ReportVerdict.STALE, said)
         born = said.born or (last.born if last is not None else said.born)
         buried = replace(last or said, born=born, sequence=LAST_SEQUENCE)
         was_known = said.instance in self.known
         self._bury(buried, now)
         if not was_known:
-            return Judged(ReportVerdict.REPEATED)
-        return Judged(ReportVerdict.NEWS, (Change(buried, gone=True),))
+            return Judged(ReportVerdict.REPEATED, buried)
+        return Judged(ReportVerdict.NEWS, buried, (Change(buried, gone=True),))
 
     def _replace_holder(self, said: Instance, now: Instant) -> tuple[Change, ...]:
         before = self.known.get(self.holders.get(said.endpoint, InstanceId("")))
--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -223,7 +223,7 @@
         report.reply(True)
         return
     if not judged.changes:
-        waiting = task.spread([Change(report.instance, report.gone)], now)
+        waiting = task.spread([Change(judged.said, report.gone)], now)
     deadline = Instant(now + CONFIRM_LIMIT)
     task.unconfirmed.append(Unconfirmed(set(waiting), deadline, report.reply))
 
--- a/src/snipecart/gateway/placing/state.py
+++ b/src/snipecart/gateway/placing/state.py
@@ -19,6 +19,7 @@
 from ...core.ids import ServiceName
 from ...core.ids import UnixMillis
 from ...core.ids import ZoneName
+from ...messages.discovery import LAST_SEQUENCE
 from ...text.routing import parse_routing
 from .budget import BudgetRule
 from .budget import RetryBudget
@@ -42,8 +43,13 @@
 FEWER_AFTER = 10.0
 """Seconds after which a lower count of gateways is believed."""
 
-DEPARTED_KEPT = 2048
-"""Departed runs remembered."""
+PAST_KEPT = 2048
+"""Backend servers remembered that are no longer known."""
+
+Told = tuple[UnixMillis, int]
+"""Birth and sequence of a report."""
+
+NEVER_TOLD: Told = (UnixMillis(-1), -1)
 
 
 @dataclass(frozen=True)
@@ -72,8 +78,8 @@
     """When so many gateways were last counted."""
     spills: dict[ServiceName, SpillMeter] = field(default_factory=dict)
     servers: dict[InstanceId, Server] = field(default_factory=dict)
-    departed: dict[InstanceId, UnixMillis] = field(default_factory=dict)
-    """Birth of the latest run of an instance that said it is gone."""
+    past: dict[InstanceId, Told] = field(default_factory=dict)
+    """What was last told of backend servers that are no longer known here."""
     usual: dict[RouteName, float] = field(default_factory=dict)
     """Usual service time of each route in seconds."""
     slow: dict[RouteName, float] = field(default_factory=dict)
@@ -135,7 +141,7 @@
 
 def take_instance(state: PlacingState, said: Instance, now: Instant) -> None:
     """Take over one backend server, unless something later is known of it."""
-    if said.born <= state.departed.get(said.instance, -1):
+    if _told(said) < state.past.get(said.instance, NEVER_TOLD):
         return
     held = state.servers.get(said.instance)
     cold_until = Instant(now + said.cold / 1000)
@@ -172,17 +178,33 @@
 
 
 def take_departure(state: PlacingState, said: Instance) -> None:
-    """Forget a run that has said it is gone, whatever is still told of it."""
-    state.departed[said.instance] = said.born
-    while len(state.departed) > DEPARTED_KEPT:
-        del state.departed[next(iter(state.departed))]
+    """Forget a run that has said it is gone, whatever is still told of it.
+
+    A departure without a birth is that of the run known here.
+    """
     held = state.servers.get(said.instance)
-    if held is not None and held.instance.born <= said.born:
+    born = said.born
+    if held is not None and (not born or held.instance.born <= born):
+        born = held.instance.born
         drop_instance(state, said.instance)
+    _remember(state, said.instance, (born, LAST_SEQUENCE))
 
 
 def drop_instance(state: PlacingState, name: InstanceId) -> None:
     """Forget a backend server that is gone."""
-    if state.servers.pop(name, None) is not None:
+    held = state.servers.pop(name, None)
+    if held is not None:
+        _remember(state, name, _told(held.instance))
         state.orders.clear()
         emit(SERVER_LEFT, instance=name)
+
+
+def _remember(state: PlacingState, name: InstanceId, told: Told) -> None:
+    """Remember what was told of a backend server, so that nothing older counts."""
+    state.past[name] = max(told, state.past.pop(name, NEVER_TOLD))
+    while len(state.past) > PAST_KEPT:
+        del state.past[next(iter(state.past))]
+
+
+def _told(said: Instance) -> Told:
+    return said.born, said.sequence
--- a/src/snipecart/messages/discovery.py
+++ b/src/snipecart/messages/discovery.py
@@ -26,6 +26,10 @@
     from collections.abc import Iterable
 
 
+LAST_SEQUENCE = 2**62
+"""Sequence of a run that has said it is gone; nothing of it comes later."""
+
+
 @record
 class Instance:
     """Describe one run of a backend server, as it last said itself."""
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -56,6 +56,21 @@
     assert judge(table, replace(FIRST, born=1000), gone=True) is STALE
 
 
+def test_late_reports_of_a_run_that_left_before_it_was_known_are_stale():
+    table = InstanceTable()
+    departure = replace(FIRST, born=0, sequence=0)
+    judge(table, departure, 10.0, gone=True)
+    assert judge(table, replace(FIRST, sequence=4), 11.0) is STALE
+    assert judge(table, replace(FIRST, sequence=5), 30.0) is STALE
+    assert judge(table, replace(FIRST, born=2000), 31.0) is NEWS
+
+
+def test_a_new_run_counts_though_the_one_that_left_was_never_known():
+    table = InstanceTable()
+    judge(table, replace(FIRST, born=0, sequence=0), 10.0, gone=True)
+    assert judge(table, replace(FIRST, born=2000, sequence=1), 12.0) is NEWS
+
+
 def test_a_later_run_takes_an_address_over_and_an_earlier_one_does_not():
     table = InstanceTable()
     judge(table, FIRST)
@@ -160,6 +175,20 @@
     assert control.replies == [True, False, False]
 
 
+def test_a_repeated_departure_names_the_run_that_left():
+    control = Control()
+    control.hear(50.0, "c2")
+    control.sync("g1", 50.0)
+    control.report(FIRST, 50.0)
+    departure = replace(FIRST, born=0, sequence=0)
+    for now in (50.1, 50.6):
+        control.report(departure, now, gone=True)
+    pushed = [item for item in control.pushed if isinstance(item, InstanceChanged)]
+    assert [(item.gone, item.instance.born) for item in pushed[1:]] == [
+        (True, 1000)
+    ] * 2
+
+
 def test_a_cut_off_control_process_confirms_nothing():
     control = Control()
     control.hear(50.0, "c2")
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -141,6 +141,25 @@
     assert set(gateway.state.servers) == {"i-racks-1", "i-racks-2"}
 
 
+def test_a_departure_without_a_birth_ends_the_run_known_here():
+    gateway = Gateway(ONE).know(make_instance(1), make_instance(2))
+    take_departure(gateway.state, make_instance(2, born=0, sequence=0))
+    assert set(gateway.state.servers) == {"i-racks-1"}
+    gateway.know(make_instance(2, sequence=9))
+    assert set(gateway.state.servers) == {"i-racks-1"}
+    gateway.know(make_instance(2, born=9000))
+    assert set(gateway.state.servers) == {"i-racks-1", "i-racks-2"}
+
+
+def test_a_server_that_leaves_does_not_come_back_by_a_list_that_lags():
+    gateway = Gateway(ONE).know(make_instance(1), make_instance(2))
+    gateway.know(make_instance(2, sequence=5, state=EndpointState.LEAVING))
+    without = make_sync(complete=True, instances=(make_instance(1),))
+    take_sync(gateway.state, without, 100.0 + NEWS_SPREADS + 0.1)
+    gateway.know(make_instance(2, sequence=4))
+    assert set(gateway.state.servers) == {"i-racks-1"}
+
+
 def test_a_control_process_that_counts_too_few_gateways_is_not_believed_at_once():
     gateway = Gateway(ONE)
     take_sync(gateway.state, make_sync(gateways=7), 100.0)
