Send a gateway the routing table once, and the control processes when they change

Change: a gateway asks one control process for a newer table, at most every 0.2 s; an answer names the control processes only where a newer committed entry names them. Tests: 5 new ones in tests/control/test_discovery.py and tests/gateway/test_sync.py.

--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -134,7 +134,7 @@
 def request_on_the_wire(count: int) -> float:
     """Measure what a gateway sends each control process twice a second."""
     gateway = Gateway("vm/1", "vm", "r", "r-a", "10.0.0.1:80", MemberState.SERVING)
-    request = SyncRequest(gateway, "0123456789ab", 9, 1, 0, False, 7)
+    request = SyncRequest(gateway, "0123456789ab", 9, 1, 0, False, 7, False, 5)
     return count * len(encode(request))
 
 
--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -264,6 +264,8 @@
     task.gateways.hear(sync.gateway, req.reply, now)
     adopted = task.adopted
     newer_routing = adopted.routing_version > sync.routing_version
+    sends_routing = sync.wants_routing and newer_routing
+    newer_control = adopted.members_index > sync.control_index
     newer_zones = adopted.evacuation_index > sync.evacuation_index
     known = sync.source == task.run_id and sync.revision >= task.instances.forgotten
     current = known and sync.revision == task.instances.revision
@@ -283,10 +285,10 @@
             tuple(item.instance for item in changes if not item.gone),
             tuple(item.instance.instance for item in changes if item.gone),
             adopted.routing_version,
-            adopted.routing if newer_routing else b"",
+            adopted.routing if sends_routing else b"",
             adopted.evacuation_index,
             adopted.evacuated if newer_zones else (),
-            adopted.members,
+            adopted.members if newer_control else (),
             adopted.members_index,
             len(task.gateways.live(now)),
             ready,
--- a/src/snipecart/gateway/sync.py
+++ b/src/snipecart/gateway/sync.py
@@ -48,6 +48,12 @@
 """
 
 
+FETCH_EVERY = 0.2
+"""Seconds between two requests for a newer routing table.
+
+All control processes tell of a newer one; one copy is enough for a thin link.
+"""
+
 EMPTY_DIGEST = digest_of(())
 
 
@@ -102,6 +108,7 @@
         self._followed = VmName("")
         self._source, self._revision = "", 0
         self._control_index = LogIndex(0)
+        self._fetch_due = Instant(0.0)
         self._first_answer: Instant | None = None
         self._due = Instant(0.0)
 
@@ -166,7 +173,7 @@
             seen = InstanceSeen(self.gateway.gateway, message.instance.instance)
             self._peers[vm].link.post(Framed(0, seen))
         elif isinstance(message, RoutingChanged):
-            self._ask(vm)
+            self._fetch(vm, message.routing_version, message.evacuation_index, now)
         elif isinstance(message, SyncAnswer):
             self._take_answer(vm, message, now)
 
@@ -183,6 +190,8 @@
         elif answer.instances or answer.complete or answer.gone:
             answer = replace(answer, instances=(), gone=(), complete=False)
         self._placing.post(answer)
+        if not answer.routing:
+            self._fetch(vm, answer.routing_version, 0, now)
         if answer.control_index > self._control_index:
             self._control_index = answer.control_index
             self._relink(answer.control)
@@ -205,7 +214,19 @@
             self._source, self._revision = "", 0
             emit(SYNC_SOURCE, vm=vm, ready=self._peers[vm].ready)
 
-    def _ask(self, vm: VmName) -> None:
+    def _fetch(
+        self, vm: VmName, version: RoutingVersion, evacuation: int, now: Instant
+    ) -> None:
+        """Ask one control process for what is newer, and no other one soon after."""
+        view = self._placing.view
+        held = view.index.routing.version if view.index is not None else -1
+        newer = version > held or evacuation > view.evacuation_index
+        if not newer or now < self._fetch_due:
+            return
+        self._fetch_due = Instant(now + FETCH_EVERY)
+        self._ask(vm, wants_routing=True)
+
+    def _ask(self, vm: VmName, *, wants_routing: bool = False) -> None:
         view = self._placing.view
         version = view.index.routing.version if view.index is not None else 0
         self._peers[vm].link.post(
@@ -219,6 +240,8 @@
                     LogIndex(view.evacuation_index),
                     vm == self._followed,
                     view.digest,
+                    wants_routing,
+                    self._control_index,
                 ),
             )
         )
--- a/src/snipecart/messages/discovery.py
+++ b/src/snipecart/messages/discovery.py
@@ -81,6 +81,10 @@
     """Only one control process a gateway answers with changes."""
     digest: int
     """Of all instances that the gateway holds, to find what it missed."""
+    wants_routing: bool
+    """Only one control process a gateway sends a newer routing table."""
+    control_index: LogIndex
+    """Entry of the log that named the control processes the gateway knows."""
 
 
 @message
--- a/src/snipecart/wire/schema.capnp
+++ b/src/snipecart/wire/schema.capnp
@@ -89,6 +89,7 @@
 struct SyncRequest {
   gateway @0 :Gateway; source @1 :Text; revision @2 :UInt64; routingVersion @3 :UInt64;
   evacuationIndex @4 :UInt64; wantsChanges @5 :Bool; digest @6 :UInt32;
+  wantsRouting @7 :Bool; controlIndex @8 :UInt64;
 }
 struct SyncAnswer {
   source @0 :Text; revision @1 :UInt64; complete @2 :Bool; instances @3 :List(Instance);
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -113,6 +113,11 @@
     return Gateway(name, f"vm-{name}", region, f"{region}-a", f"{name}:80", state)
 
 
+def make_request(name, **more):
+    request = SyncRequest(make_gateway(name), "", 0, 0, 0, True, 0, False, 0)
+    return replace(request, **more)
+
+
 class Control:
     """Drive one discovery task by its messages, without its thread."""
 
@@ -128,7 +133,7 @@
         self.task.handle(gossip, now)
 
     def sync(self, name, now):
-        self.ask(SyncRequest(make_gateway(name), "", 0, 0, 0, True, 0), now)
+        self.ask(make_request(name), now)
 
     def ask(self, req, now):
         self.task.handle([Received(req, self.pushed.append)], now)
@@ -226,15 +231,31 @@
     control.hear(50.0, "c2")
     control.report(FIRST, 50.0)
     task = control.task
-    current = SyncRequest(
-        make_gateway("g1"), task.run_id, task.instances.revision, 0, 0, True, 0
-    )
+    current = make_request("g1", source=task.run_id, revision=task.instances.revision)
     control.hear(50.5, "c2")
     assert control.ask(current, 50.5).instances
     digest = task.instances.digest()
     assert not control.ask(replace(current, digest=digest), 50.5).instances
 
 
+def test_a_gateway_gets_a_routing_table_only_where_it_asks_for_it():
+    control = Control()
+    adopted = replace(control.task.adopted, routing_version=3, routing=b"{}")
+    control.task.handle([adopted], 50.0)
+    told = control.ask(make_request("g1"), 50.0)
+    assert (told.routing_version, told.routing) == (3, b"")
+    assert control.ask(make_request("g1", wants_routing=True), 50.1).routing == b"{}"
+
+
+def test_a_gateway_gets_the_control_processes_only_when_others_were_named():
+    control = Control()
+    nodes = (Node("c1/1", "c1", "c1", 1),)
+    adopted = replace(control.task.adopted, members=nodes, members_index=7)
+    control.task.handle([adopted], 50.0)
+    assert control.ask(make_request("g1", control_index=6), 50.0).control == nodes
+    assert control.ask(make_request("g1", control_index=7), 50.1).control == ()
+
+
 def test_look_ups_name_serving_gateways_of_the_clients_region_first():
     near = make_gateway("g1")
     far = make_gateway("g2", "south")
--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -14,6 +14,7 @@
 from snipecart.gateway.sync import SyncTask
 from snipecart.messages.commands import Node
 from snipecart.messages.discovery import Gateway
+from snipecart.messages.discovery import RoutingChanged
 from snipecart.messages.discovery import SyncAnswer
 from snipecart.program.settings import ControlPeer
 
@@ -104,3 +105,27 @@
     tell(sync, other, 2.1, gone=("i-1",))
     tell(sync, followed, 2.1, gone=("i-2",))
     assert [item.gone for item in sync._placing.taken] == [(), ("i-2",)]
+
+
+def fetches(task, vm):
+    """Return how often a control process was asked for a routing table."""
+    return sum(item.wants_routing for item in task._peers[vm].link.sent)
+
+
+def test_one_control_process_is_asked_for_a_newer_routing_table(sync):
+    for vm in ("c1", "c2"):
+        sync.handle([FromPeer(vm, RoutingChanged(5, 0))], Instant(1.0))
+    assert (fetches(sync, "c1"), fetches(sync, "c2")) == (1, 0)
+
+
+def test_another_one_is_asked_where_the_first_sent_none(sync):
+    sync.handle([FromPeer("c1", RoutingChanged(5, 0))], Instant(1.0))
+    tell(sync, "c2", 1.5, routing_version=5)
+    assert (fetches(sync, "c1"), fetches(sync, "c2")) == (1, 1)
+
+
+def test_nobody_is_asked_for_a_routing_table_that_is_held(sync):
+    routing = SimpleNamespace(version=5)
+    sync._placing.view.index = SimpleNamespace(routing=routing)
+    tell(sync, "c1", 1.0, routing_version=5)
+    assert fetches(sync, "c1") == 0
