Admit requests by what the VM's own link carries, the most urgent first

Change: a gateway counts the bytes that come in with requests, and admits answers into what is left of its link, each rank leaving room for the more urgent ones. What does not fit is refused at once, not run.

--- a/src/snipecart/core/failures.py
+++ b/src/snipecart/core/failures.py
@@ -77,6 +77,12 @@
     category = Category.UNAVAILABLE
 
 
+class LinkSaturated(Failure):
+    """Refuse at once a request whose answer this VM's link could not carry."""
+
+    category = Category.UNAVAILABLE
+
+
 class ClientGone(Failure):
     """Drop a request whose client has left."""
 
--- a/src/snipecart/gateway/factory.py
+++ b/src/snipecart/gateway/factory.py
@@ -21,6 +21,7 @@
 from .pipeline import GatewayContext
 from .pipeline import make_pipeline
 from .placing.budget import BudgetRule
+from .placing.link import LinkBudget
 from .placing.state import Here
 from .placing.state import PlacingState
 from .placing.task import PlacingTask
@@ -69,7 +70,11 @@
     rule = BudgetRule(cfg.retries.ratio, cfg.retries.window_s, cfg.retries.slack)
     here = Here(cfg.region, cfg.zone, cfg.regions)
     return PlacingState(
-        here, choice=cfg.choice, wait_rule=cfg.admission, budget_rule=rule
+        here,
+        choice=cfg.choice,
+        wait_rule=cfg.admission,
+        budget_rule=rule,
+        link=LinkBudget.of_mbps(cfg.link_mbps),
     )
 
 
--- a/src/snipecart/gateway/placing/outcome.py
+++ b/src/snipecart/gateway/placing/outcome.py
@@ -44,6 +44,8 @@
     state: PlacingState, routed: Routed, place: Place, sent: Sent, now: Instant
 ) -> None:
     """Free a request's place and learn from how its send ended."""
+    if sent.answer is not None:
+        state.link.note_answer(routed.route, len(sent.answer.body))
     server = state.servers.get(place.instance)
     if server is None:
         return
--- a/src/snipecart/gateway/placing/routes.py
+++ b/src/snipecart/gateway/placing/routes.py
@@ -23,9 +23,14 @@
         self.services: dict[ServiceName, RoutedService] = {
             service.name: service for service in routing.services
         }
+        self._ranks = sorted({route.rank for route in routing.routes})
         for route in routing.routes:
             self._by_host.setdefault(route.host.lower(), {})[route.prefix] = route
 
+    def more_urgent(self, route: Route) -> int:
+        """Return how many ranks of the table are more urgent than a route's."""
+        return self._ranks.index(route.rank)
+
     def find(self, host: str, target: str) -> Route | None:
         """Return the route of a request, or None."""
         routes = self._by_host.get(_bare_host(host))
--- a/src/snipecart/gateway/placing/state.py
+++ b/src/snipecart/gateway/placing/state.py
@@ -23,6 +23,7 @@
 from ...text.routing import parse_routing
 from .budget import BudgetRule
 from .budget import RetryBudget
+from .link import LinkBudget
 from .routes import Divisions
 from .routes import RouteIndex
 from .server import Server
@@ -76,6 +77,7 @@
     gateways: int = 1
     counted: Instant = Instant(-1e9)
     """When so many gateways were last counted."""
+    link: LinkBudget = field(default_factory=LinkBudget)
     spills: dict[ServiceName, SpillMeter] = field(default_factory=dict)
     servers: dict[InstanceId, Server] = field(default_factory=dict)
     past: dict[InstanceId, Told] = field(default_factory=dict)
--- a/src/snipecart/gateway/placing/task.py
+++ b/src/snipecart/gateway/placing/task.py
@@ -13,6 +13,7 @@
 
 from ...core.failures import Busy
 from ...core.failures import Failure
+from ...core.failures import LinkSaturated
 from ...core.ids import InstanceId
 from ...core.ids import Instant
 from ...core.ids import ServiceName
@@ -155,9 +156,13 @@
 @HANDLERS.register(AskPlace)
 def handle_ask(task: PlacingTask, ask: AskPlace, now: Instant) -> None:
     """Choose a first place."""
-    state = task.state
-    service = state.divisions.next(ask.routed.route)
-    chosen = choose(state, ask.routed, service, frozenset(), now)
+    state, routed = task.state, ask.routed
+    state.link.note_request(len(routed.req.body), now)
+    if not state.link.admit(routed.route, routed.urgent, now):
+        ask.fut.set_result(Error(LinkSaturated()))
+        return
+    service = state.divisions.next(routed.route)
+    chosen = choose(state, routed, service, frozenset(), now)
     budget_of(state, service).note_first(now)
     ask.fut.set_result(chosen)
 
--- a/src/snipecart/gateway/request.py
+++ b/src/snipecart/gateway/request.py
@@ -93,6 +93,8 @@
     route: Route
     version: RoutingVersion
     deadline: Instant
+    urgent: int = 0
+    """Ranks of the routing table that are more urgent than the route's."""
 
     def remaining(self) -> float:
         """Return the seconds left."""
--- a/src/snipecart/platform/settings.py
+++ b/src/snipecart/platform/settings.py
@@ -144,6 +144,7 @@
                 "window_s": given.bound_ms("budget_window", 10_000) / 1000,
                 "slack": given.bound("budget_slack", 10.0),
             },
+            link_mbps=given.fields.get("limits", {}).get("link_mbps", 0.0),
             linger_s=grace / 2,
             stop_s=grace * 0.87,
         )
--- a/src/snipecart/program/settings.py
+++ b/src/snipecart/program/settings.py
@@ -119,6 +119,8 @@
     control: Annotated[tuple[ControlPeer, ...], Field(min_length=1)]
     """Control processes to begin with; they name the others."""
     retries: RetryBudgetSettings = RetryBudgetSettings()
+    link_mbps: Annotated[float, Field(ge=0)] = 0.0
+    """What the VM's link carries each way in megabits a second; 0 for no limit."""
     choice: str = "warm-first"
     admission: str = "target"
     linger_s: Annotated[float, Field(ge=0)] = 3.0
