--- a/src/snipecart/cli/control.py
+++ b/src/snipecart/cli/control.py
@@ -21,18 +21,11 @@
 from ..program.run import run_until_stopped
 from ..program.run import settings_or_exit
 from ..program.settings import ControlSettings
+from .options import SETTINGS
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-SETTINGS = click.option(
-    "--settings",
-    "path",
-    required=True,
-    type=click.Path(path_type=Path),
-    help="JSON settings file.",
-)
-
 
 @click.group()
 @click.version_option(package_name="snipecart")
--- a/src/snipecart/cli/entry.py
+++ b/src/snipecart/cli/entry.py
@@ -11,6 +11,7 @@
 from ..program.run import run_until_stopped
 from ..program.run import settings_or_exit
 from ..program.settings import EntrySettings
+from .options import SETTINGS
 
 
 @click.group()
@@ -20,13 +21,7 @@
 
 
 @main.command()
-@click.option(
-    "--settings",
-    "path",
-    required=True,
-    type=click.Path(path_type=Path),
-    help="JSON settings file.",
-)
+@SETTINGS
 def run(path: Path) -> None:
     """Run until SIGTERM, then drain."""
     cfg = settings_or_exit(EntrySettings, path)
--- a/src/snipecart/cli/fleet.py
+++ b/src/snipecart/cli/fleet.py
@@ -13,12 +13,11 @@
 from ..core.states import Observed
 from ..program.answers import to_json
 from .exits import Exit
+from .options import AS_JSON
 
 ANSWER_WAIT = 3.0
 """Seconds to wait for a process."""
 
-AS_JSON = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
-
 
 def _ask(address: str, page: str, **fields: str) -> dict[str, Any] | None:
     try:
--- a/src/snipecart/cli/load.py
+++ b/src/snipecart/cli/load.py
@@ -12,6 +12,7 @@
 from ..bench.load import summarize_ranks
 from ..program.answers import to_json
 from ..program.run import settings_or_exit
+from .options import AS_JSON
 
 
 @click.group()
@@ -28,7 +29,7 @@
     type=click.Path(path_type=Path),
     help="JSON file that describes the run.",
 )
-@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@AS_JSON
 @click.option("--history", type=click.Path(path_type=Path), help="Write keys here.")
 def run(path: Path, as_json: bool, history: Path | None) -> None:
     """Offer the calls of a plan and print the figures by rank and kind."""
--- a/src/snipecart/cli/logs.py
+++ b/src/snipecart/cli/logs.py
@@ -15,6 +15,7 @@
 from ..logs.trace import trace_request
 from ..program.answers import to_json
 from .exits import Exit
+from .options import AS_JSON
 
 LOGS = click.argument(
     "files",
@@ -36,7 +37,7 @@
 @main.command()
 @click.argument("request")
 @LOGS
-@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@AS_JSON
 def trace(request: str, files: tuple[Path, ...], as_json: bool) -> None:
     """Tell how a request ended, why, and what its servers did around that time.
 
--- a/src/snipecart/cli/operator.py
+++ b/src/snipecart/cli/operator.py
@@ -28,6 +28,7 @@
 from .exits import Exit
 from .fleet import fleet
 from .fleet import where
+from .options import AS_JSON
 
 POLL = 0.2
 """Seconds between two looks at whether a text is in force."""
@@ -40,7 +41,6 @@
     envvar="SNIPECART_CONTROL",
     help="host:port of a control process; repeat it, or set SNIPECART_CONTROL.",
 )
-AS_JSON = click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 TEXT = click.argument(
     "file", type=click.Path(exists=True, dir_okay=False, path_type=Path)
 )
--- a/src/snipecart/cli/standin.py
+++ b/src/snipecart/cli/standin.py
@@ -11,6 +11,7 @@
 from ..program.run import run_until_stopped
 from ..program.run import settings_or_exit
 from ..program.settings import StandinSettings
+from .options import SETTINGS
 
 
 @click.group()
@@ -20,13 +21,7 @@
 
 
 @main.command()
-@click.option(
-    "--settings",
-    "path",
-    required=True,
-    type=click.Path(path_type=Path),
-    help="JSON settings file.",
-)
+@SETTINGS
 def run(path: Path) -> None:
     """Run until SIGTERM, then leave."""
     cfg = settings_or_exit(StandinSettings, path)
