--- a/src/snipecart/cli/control.py
+++ b/src/snipecart/cli/control.py
@@ -4,7 +4,6 @@
 
 import sys
 from contextlib import contextmanager
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 import click
@@ -25,6 +24,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
+    from pathlib import Path
 
 
 @click.group()
--- a/src/snipecart/cli/standin.py
+++ b/src/snipecart/cli/standin.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
@@ -13,6 +13,9 @@
 from ..program.settings import StandinSettings
 from .options import SETTINGS
 
+if TYPE_CHECKING:
+    from pathlib import Path
+
 
 @click.group()
 @click.version_option(package_name="snipecart")
