--- a/src/snipecart/gateway/pipeline.py
+++ b/src/snipecart/gateway/pipeline.py
@@ -49,7 +49,10 @@
 """Seconds after which the first refused clients may come back."""
 
 RETRY_SPREAD = 0.8
-"""Seconds over which refused clients come back."""
+"""Seconds over which refused clients come back, at the least."""
+
+RETRY_PART = 0.25
+"""Part of the time that a client waits over which it may come back."""
 
 
 @dataclass(frozen=True)
@@ -78,7 +81,7 @@
     """Find the route and the time that is left."""
     index = ctx.placing.view.index
     if index is None:
-        return Error(RequestFailed(NoRouting(), False, _come_back(ctx)))
+        return Error(RequestFailed(NoRouting(), False, come_back(ctx.rng, req)))
     route = index.find(req.host, req.target)
     if route is None:
         return Error(RequestFailed(NoRoute(req.host), False))
@@ -152,9 +155,15 @@
     failure: Failure,
     attempts: tuple[Attempt, ...],
 ) -> RequestFailed:
-    return RequestFailed(failure, False, _come_back(ctx), routed, attempts)
+    wait = come_back(ctx.rng, routed.req)
+    return RequestFailed(failure, False, wait, routed, attempts)
+
 
+def come_back(rng: Random, req: HttpRequest) -> float:
+    """Return the seconds after which a refused client may come back.
 
-def _come_back(ctx: GatewayContext) -> float:
-    """Spread the return of refused clients, so that they don't come all at once."""
-    return RETRY_AFTER + RETRY_SPREAD * ctx.rng.random()
+    The returns are spread, so that they don't come all at once, and those of clients
+    with much time are spread over more of it: a flood may have passed by then.
+    """
+    spread = max(RETRY_SPREAD, RETRY_PART * req.wait_ms / 1000)
+    return RETRY_AFTER + spread * rng.random()
--- a/src/snipecart/gateway/placing/choice.py
+++ b/src/snipecart/gateway/placing/choice.py
@@ -253,7 +253,7 @@
 ) -> Place:
     load = server.load(now)
     due = server.due_after(routed.object_key, _usual(state, routed), wait, now)
-    server.begin_send(due)
+    server.begin_send(due, now)
     host, _, port = server.instance.endpoint.rpartition(":")
     return Place(
         server.instance.service,
--- a/src/snipecart/gateway/placing/server.py
+++ b/src/snipecart/gateway/placing/server.py
@@ -80,14 +80,23 @@
         return True
 
 
+@dataclass(frozen=True)
+class OpenSend:
+    """Note a request that waits for its answer."""
+
+    begun: Instant
+    due: Instant
+    """When its answer is overdue."""
+
+
 @dataclass(eq=False)
 class Server:
     """Hold what is observed of a backend server."""
 
     instance: Instance
     cold_until: Instant
-    due: list[Instant] = field(default_factory=list)
-    """When the answers to this gateway's requests there are overdue."""
+    sends: list[OpenSend] = field(default_factory=list)
+    """This gateway's requests that are there now."""
     others: float = 0.0
     """Requests of other gateways at the last report."""
     reported: Instant = Instant(-1e9)
@@ -97,6 +106,8 @@
     grey_until: Instant = Instant(0.0)
     answered: Instant = Instant(-1e9)
     """When it last answered."""
+    in_time: Instant = Instant(-1e9)
+    """When it last answered in no more than the usual time or a little over it."""
     failing: float = 0.0
     """Moving average of failed sends."""
     slowness: float = 1.0
@@ -118,16 +129,17 @@
     @property
     def sending(self) -> int:
         """Return how many requests of this gateway are there now."""
-        return len(self.due)
+        return len(self.sends)
 
-    def begin_send(self, due: Instant) -> None:
+    def begin_send(self, due: Instant, now: Instant) -> None:
         """Note a request that is sent there, and when its answer is overdue."""
-        self.due.append(due)
+        self.sends.append(OpenSend(now, due))
 
     def end_send(self, due: Instant) -> None:
         """Note that a request sent there has ended."""
-        if due in self.due:
-            self.due.remove(due)
+        ended = next((item for item in self.sends if item.due == due), None)
+        if ended is not None:
+            self.sends.remove(ended)
 
     def due_after(self, key: str, usual: float, wait: float, now: Instant) -> Instant:
         """Return when the answer to one more request is overdue."""
@@ -169,9 +181,10 @@
     def is_slow(self, now: Instant) -> bool:
         """Say whether it takes much longer than usual, as far as is known.
 
-        One that was slow is tried anew after a while, by one request at a time.
+        One that was slow is tried anew after a while, by one request at a time. An
+        overdue answer tells nothing where later requests were answered in time.
         """
-        if any(due < now for due in self.due):
+        if any(item.due < now and item.begun >= self.in_time for item in self.sends):
             return True
         if self.slowness <= SLOW_RATIO:
             return False
@@ -237,6 +250,8 @@
         self.was_late = late
         if late:
             self.slow_seen = now
+        else:
+            self.in_time = now
 
     def _note_failure(self, end: SendEnd, now: Instant) -> None:
         self.failures += 1
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -183,7 +183,7 @@
             spilled += region == "south"
         if turn % 8 == 0:
             for server in gateway.state.servers.values():
-                server.due = server.due[1:]
+                server.sends = server.sends[1:]
     assert placed > 100
     assert spilled <= 0.15 * placed
 
--- a/tests/gateway/test_slow.py
+++ b/tests/gateway/test_slow.py
@@ -42,6 +42,18 @@
     assert gateway.place(gateway.request(key="1")).instance != waiting.instance
 
 
+def test_one_overdue_answer_tells_nothing_where_others_come_in_time():
+    gateway = gateway_that_knows_its_times()
+    waiting = gateway.place(gateway.request(key="1"))
+    gateway.now = Instant(gateway.now + 0.3)
+    routed = gateway.request(key="1")
+    place = gateway.place(routed)
+    gateway.now = Instant(gateway.now + 0.2)
+    gateway.end(routed, place, seconds=0.2)
+    gateway.now = Instant(gateway.now + 0.2)
+    assert gateway.place(gateway.request(key="1")).instance == waiting.instance
+
+
 def test_a_server_that_was_slow_is_tried_by_one_request_at_a_time():
     gateway = gateway_that_knows_its_times()
     routed = gateway.request(key="1")
@@ -51,7 +63,7 @@
         gateway.end(routed, slow, seconds=1.2)
     assert gateway.place(gateway.request(key="1")).instance != slow.instance
     gateway.now = Instant(gateway.now + 3.0)
-    server.due.clear()
+    server.sends.clear()
     probe = gateway.place(routed)
     assert probe.instance == slow.instance
     assert gateway.place(gateway.request(key="1")).instance != slow.instance
