Don't take a server for slow that has forgotten an object, or that answers others in time

Change: an answer is late beyond 3.5 times the usual time and beyond 1.3 times what objects new to their servers take; the same time makes it overdue; overdue answers count only where nothing came in time since.

--- a/src/snipecart/gateway/placing/choice.py
+++ b/src/snipecart/gateway/placing/choice.py
@@ -19,18 +19,19 @@
 from ...core.failures import NoEndpoint
 from ...core.failures import ServerSaturated
 from ...core.ids import InstanceId
+from ...core.ids import Instant
 from ...core.ids import ServiceName
 from ...core.registry import Registry
 from ...core.states import EndpointState
 from ..request import Place
 from .admission import WAIT_RULES
 from .order import order_of
+from .outcome import late_time
 from .server import Server
 from .server import TokenBucket
 from .spill import SpillMeter
 
 if TYPE_CHECKING:
-    from ...core.ids import Instant
     from ...text.routing import Route
     from ..request import Routed
     from .state import PlacingState
@@ -252,7 +253,8 @@
     state: PlacingState, routed: Routed, server: Server, wait: float, now: Instant
 ) -> Place:
     load = server.load(now)
-    due = server.due_after(routed.object_key, _usual(state, routed), wait, now)
+    late_after = late_time(state, routed.route, _usual(state, routed))
+    due = Instant(now + wait + late_after)
     server.begin_send(due, now)
     host, _, port = server.instance.endpoint.rpartition(":")
     return Place(
--- a/src/snipecart/gateway/placing/outcome.py
+++ b/src/snipecart/gateway/placing/outcome.py
@@ -9,6 +9,7 @@
 from ...core.ids import Instant
 from ...core.states import SendEnd
 from .budget import RetryBudget
+from .server import SLOW_RATIO
 
 if TYPE_CHECKING:
     from ...core.ids import ServiceName
@@ -33,6 +34,9 @@
 TELLING = frozenset({SendEnd.ANSWERED, SendEnd.TIMED_OUT, SendEnd.CANCELLED})
 """Ends whose time tells how quick a server is, at the least how slow."""
 
+UNKNOWN_MARGIN = 1.3
+"""Time against the usual one of an object new to its server at which it is late."""
+
 LEAST_DELAY = 0.05
 """Seconds over the usual time below which an answer says nothing of slowness."""
 
@@ -50,7 +54,8 @@
     if server is None:
         return
     server.end_send(place.due)
-    ratio = _note_time(state, routed.route, place, sent)
+    known = server.knows(routed.object_key)
+    ratio = _note_time(state, routed.route, place, sent, known)
     was_ejected = server.is_ejected(now)
     server.note_end(sent.end, ratio, sent.load is not None, now)
     if sent.end is SendEnd.ANSWERED:
@@ -70,13 +75,29 @@
         )
 
 
-def _note_time(state: PlacingState, route: Route, place: Place, sent: Sent) -> float:
-    """Learn a route's usual time; return this send's time against it."""
+def late_time(state: PlacingState, route: Route, usual: float) -> float:
+    """Return the seconds after which an answer is late.
+
+    An object that its server has forgotten takes long without the server being slow.
+    """
+    return max(SLOW_RATIO * usual, UNKNOWN_MARGIN * state.unknown.get(route.name, 0.0))
+
+
+def _note_time(
+    state: PlacingState, route: Route, place: Place, sent: Sent, known: bool
+) -> float:
+    """Learn a route's usual time; return this send's time against it.
+
+    A late one has a ratio over SLOW_RATIO.
+    """
     if place.queued_ms or sent.end not in TELLING:
         return 1.0
     if sent.end is not SendEnd.ANSWERED:
         usual = state.usual.get(route.name, 0.0)
-        return sent.seconds / usual if usual > 0 else 1.0
+        return _ratio(state, route, sent.seconds, usual)
+    if not known:
+        unknown = state.unknown.setdefault(route.name, sent.seconds)
+        state.unknown[route.name] = unknown + USUAL_STEP * (sent.seconds - unknown)
     slow = state.slow.setdefault(route.name, sent.seconds)
     over = sent.seconds > slow
     state.slow[route.name] = slow * (SLOW_UP if over else SLOW_DOWN)
@@ -86,8 +107,13 @@
     else:
         state.usual[route.name] = usual + USUAL_STEP * (sent.seconds - usual)
     if sent.seconds < usual + LEAST_DELAY:
-        return min(1.0, sent.seconds / usual) if usual > 0 else 1.0
-    return sent.seconds / usual if usual > 0 else 1.0
+        return 1.0
+    return _ratio(state, route, sent.seconds, usual)
+
+
+def _ratio(state: PlacingState, route: Route, seconds: float, usual: float) -> float:
+    late_after = late_time(state, route, usual)
+    return SLOW_RATIO * seconds / late_after if usual > 0 else 1.0
 
 
 def budget_of(state: PlacingState, service: ServiceName) -> RetryBudget:
--- a/src/snipecart/gateway/placing/server.py
+++ b/src/snipecart/gateway/placing/server.py
@@ -44,17 +44,11 @@
 """Seconds for which a backend server that fails in part is left alone."""
 
 SLOW_RATIO = 3.5
-"""Time against its kind's usual time above which a backend server is slow."""
+"""Time against its kind's usual time above which an answer is late."""
 
 SLOW_MEMORY = 2.0
 """Seconds after which a slow backend server is tried anew, by one request at a time."""
 
-OVERDUE_RATIO = 2.5
-"""Time against its kind's usual time above which an answer is overdue."""
-
-OVERDUE_UNKNOWN = 2.5
-"""Factor by which that time is longer for an object that the server does not know."""
-
 OBJECTS_KNOWN = 32
 """Objects that a backend server is taken to know."""
 
@@ -141,11 +135,6 @@
         if ended is not None:
             self.sends.remove(ended)
 
-    def due_after(self, key: str, usual: float, wait: float, now: Instant) -> Instant:
-        """Return when the answer to one more request is overdue."""
-        ratio = OVERDUE_RATIO * (1.0 if self.knows(key) else OVERDUE_UNKNOWN)
-        return Instant(now + wait + ratio * usual)
-
     def load(self, now: Instant) -> float:
         """Estimate how many requests are there, whoever sent them."""
         fresh = max(0.0, 1.0 - (now - self.reported) / REPORT_AGE)
--- a/src/snipecart/gateway/placing/state.py
+++ b/src/snipecart/gateway/placing/state.py
@@ -84,6 +84,8 @@
     """What was last told of backend servers that are no longer known here."""
     usual: dict[RouteName, float] = field(default_factory=dict)
     """Usual service time of each route in seconds."""
+    unknown: dict[RouteName, float] = field(default_factory=dict)
+    """Usual time of answers about objects new to their servers, in seconds."""
     slow: dict[RouteName, float] = field(default_factory=dict)
     """Time within which nine in ten answers of each route come, in seconds."""
     budgets: dict[ServiceName, RetryBudget] = field(default_factory=dict)
