--- a/src/snipecart/control/discovery/table.py
+++ b/src/snipecart/control/discovery/table.py
@@ -156,7 +156,8 @@
     def _is_of_the_gone(self, said: Instance, now: Instant) -> bool:
         """Say whether a report is of a run that left before it was known here.
 
-        The first report of another run of that id tells itself by its sequence.
+        If so, its birth is remembered. The first report of another run of that id
+        tells itself by its sequence.
         """
         tomb = self.gone.get(said.instance)
         if tomb is None or tomb.instance.born or not said.born:
--- a/src/snipecart/gateway/placing/server.py
+++ b/src/snipecart/gateway/placing/server.py
@@ -101,7 +101,7 @@
     answered: Instant = Instant(-1e9)
     """When it last answered."""
     in_time: Instant = Instant(-1e9)
-    """When it last answered in no more than the usual time or a little over it."""
+    """When an answer last came that was not late."""
     failing: float = 0.0
     """Moving average of failed sends."""
     slowness: float = 1.0
