--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from snipecart.control.discovery.gateways import named_gateways
+from snipecart.control.discovery.gateways import LookupIndex
 from snipecart.control.discovery.table import InstanceTable
 from snipecart.core.ids import Instant
 from snipecart.core.states import EndpointState
@@ -162,4 +162,5 @@
         )
         for number in range(count)
     ]
-    return timed(lambda: named_gateways(gateways, REGIONS[0], "z", 16), 500)
+    index = LookupIndex(gateways)
+    return timed(lambda: index.choose(REGIONS[0], "z", 16), 500)
--- a/src/snipecart/control/discovery/gateways.py
+++ b/src/snipecart/control/discovery/gateways.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from itertools import count
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -78,14 +79,36 @@
                 del self.gateways[item.gateway.gateway]
 
 
-def named_gateways(
-    gateways: Iterable[Gateway], region: RegionName, zone: ZoneName, most: int
-) -> list[Gateway]:
-    """Choose the gateways a client should use: its region's, else all.
+class LookupIndex:
+    """Name the gateways that clients should use; made anew when gateways change.
 
-    Those of the client's zone come first.
+    Clients get their region's gateways, those of their zone first; all where their
+    region has none. Where there are more than may be named, look-ups take turns.
     """
-    serving = [item for item in gateways if item.state is MemberState.SERVING]
-    near = [item for item in serving if item.region == region]
-    chosen = sorted(near or serving, key=lambda item: (item.zone != zone, item.vm))
-    return chosen[:most]
+
+    def __init__(self, gateways: Iterable[Gateway] = ()) -> None:
+        self.gateways = tuple(gateways)
+        serving = [item for item in self.gateways if item.state is MemberState.SERVING]
+        self._serving = sorted(serving, key=lambda item: item.vm)
+        self._by_region: dict[RegionName, list[Gateway]] = {}
+        for item in self._serving:
+            self._by_region.setdefault(item.region, []).append(item)
+        self._turns = count()
+
+    def choose(self, region: RegionName, zone: ZoneName, most: int) -> list[Gateway]:
+        """Return the gateways that a client of a region and zone should use."""
+        known = self._by_region.get(region, self._serving)
+        near = [item for item in known if item.zone == zone]
+        far = [item for item in known if item.zone != zone]
+        turn = next(self._turns)
+        return [*_window(near, turn, most), *_window(far, turn, most - len(near))]
+
+
+def _window(items: list[Gateway], turn: int, most: int) -> list[Gateway]:
+    """Return some of the items, beginning elsewhere at each turn."""
+    if most <= 0:
+        return []
+    if len(items) <= most:
+        return items
+    begin = turn * most % len(items)
+    return [*items[begin:], *items[:begin]][:most]
--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -25,7 +25,6 @@
 from ...core.registry import Registry
 from ...core.task import Task
 from ...core.task import monotonic
-from ...messages.discovery import Gateway
 from ...messages.discovery import Gossip
 from ...messages.discovery import Heard
 from ...messages.discovery import InstanceChanged
@@ -38,6 +37,7 @@
 from .gateways import CONTACT
 from .gateways import NAMED
 from .gateways import GatewayTable
+from .gateways import LookupIndex
 from .gateways import Unconfirmed
 from .table import Change
 from .table import InstanceTable
@@ -107,7 +107,7 @@
         self.contacts: dict[VmName, Instant] = {}
         self.unconfirmed: list[Unconfirmed] = []
         self.heard: list[Heard] = []
-        self.named: tuple[Gateway, ...] = ()
+        self.named = LookupIndex()
         """Gateways that look-ups may name; replaced whole, read by any thread."""
         self._gossip_due = Instant(0.0)
         self._expire_due = Instant(0.0)
@@ -199,13 +199,14 @@
     def _name_gateways(self, now: Instant) -> None:
         live = self.gateways.live(now, NAMED)
         named = tuple(item.gateway for item in live)
-        if named == self.named:
+        before = self.named.gateways
+        if named == before:
             return
-        for item in set(self.named) - set(named):
+        for item in set(before) - set(named):
             emit(GATEWAY_SILENT, gateway=item.gateway, state=item.state)
-        for item in set(named) - set(self.named):
+        for item in set(named) - set(before):
             emit(GATEWAY_HEARD, gateway=item.gateway, state=item.state)
-        self.named = named
+        self.named = LookupIndex(named)
 
 
 @HANDLERS.register(Report)
--- a/src/snipecart/platform/calls.py
+++ b/src/snipecart/platform/calls.py
@@ -14,7 +14,6 @@
 from expression import Ok
 from expression import Result
 
-from ..control.discovery.gateways import named_gateways
 from ..control.discovery.task import Report
 from ..control.metrics import REFUSALS
 from ..control.requests import ReadRouting
@@ -260,7 +259,7 @@
     query = parse_qs(asked.query)
     region = RegionName(query.get("region", [""])[0])
     zone = ZoneName(query.get("zone", [""])[0])
-    chosen = named_gateways(calls.tasks.discovery.named, region, zone, LOOKUP_MOST)
+    chosen = calls.tasks.discovery.named.choose(region, zone, LOOKUP_MOST)
     if not chosen:
         return Error(NoQuorum("no gateway known"))
     answer = {
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from snipecart.control.discovery.gateways import named_gateways
+from snipecart.control.discovery.gateways import LookupIndex
 from snipecart.control.discovery.table import SILENCE
 from snipecart.control.discovery.table import InstanceTable
 from snipecart.control.discovery.table import ReportVerdict
@@ -260,6 +260,21 @@
     near = make_gateway("g1")
     far = make_gateway("g2", "south")
     leaving = make_gateway("g3", state=MemberState.LEAVING)
-    chosen = named_gateways((far, leaving, near), "north", "north-a", 5)
+    chosen = LookupIndex((far, leaving, near)).choose("north", "north-a", 5)
     assert chosen == [near]
-    assert named_gateways((far, leaving), "north", "north-a", 5) == [far]
+    assert LookupIndex((far, leaving)).choose("north", "north-a", 5) == [far]
+
+
+def test_look_ups_take_turns_where_not_all_gateways_can_be_named():
+    near = [make_gateway(f"g{number:02}") for number in range(40)]
+    index = LookupIndex(near)
+    answers = [index.choose("north", "north-a", 16) for _ in range(5)]
+    assert all(len(set(answer)) == 16 for answer in answers)
+    assert {item for answer in answers for item in answer} == set(near)
+
+
+def test_look_ups_name_the_clients_zone_first():
+    near, other = make_gateway("g9"), make_gateway("g1")
+    other = replace(other, zone="north-b")
+    assert LookupIndex((other, near)).choose("north", "north-a", 5) == [near, other]
+    assert LookupIndex((other, near)).choose("north", "north-a", 1) == [near]
