Take new seeds over at once, though the log's members are as before

Cause: since gateways relink only to a newer list of control processes, seeds from a reload waited for the next change of the log's members. Found by reading. Change: a reload relinks to the new seeds and the last list. A gateway without a routing table asks for none where a control process has none either.

--- a/src/snipecart/gateway/sync.py
+++ b/src/snipecart/gateway/sync.py
@@ -108,6 +108,8 @@
         self._followed = VmName("")
         self._source, self._revision = "", 0
         self._control_index = LogIndex(0)
+        self._nodes: tuple[Node, ...] = ()
+        """Control processes that the log named at that index."""
         self._fetch_due = Instant(0.0)
         self._first_answer: Instant | None = None
         self._due = Instant(0.0)
@@ -135,7 +137,7 @@
 
     def start(self) -> None:
         """Open the links to the seeds, then start this task."""
-        self._relink(())
+        self._relink(self._nodes)
         super().start()
 
     def close(self) -> None:
@@ -155,6 +157,7 @@
                 self._due = now
             elif isinstance(message, SetSeeds):
                 self._seeds = _addresses(message.seeds)
+                self._relink(self._nodes)
             elif isinstance(message, FromPeer):
                 self._take(message, now)
         if now >= self._due:
@@ -193,8 +196,8 @@
         if not answer.routing:
             self._fetch(vm, answer.routing_version, 0, now)
         if answer.control_index > self._control_index:
-            self._control_index = answer.control_index
-            self._relink(answer.control)
+            self._control_index, self._nodes = answer.control_index, answer.control
+            self._relink(self._nodes)
 
     def _choose(self, now: Instant) -> None:
         """Follow a control process that answers, the same one while it does."""
@@ -219,7 +222,7 @@
     ) -> None:
         """Ask one control process for what is newer, and no other one soon after."""
         view = self._placing.view
-        held = view.index.routing.version if view.index is not None else -1
+        held = view.index.routing.version if view.index is not None else 0
         newer = version > held or evacuation > view.evacuation_index
         if not newer or now < self._fetch_due:
             return
--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -11,6 +11,7 @@
 from snipecart.core.states import MemberState
 from snipecart.gateway import sync as sync_module
 from snipecart.gateway.sync import FromPeer
+from snipecart.gateway.sync import SetSeeds
 from snipecart.gateway.sync import SyncTask
 from snipecart.messages.commands import Node
 from snipecart.messages.discovery import Gateway
@@ -129,3 +130,10 @@
     sync._placing.view.index = SimpleNamespace(routing=routing)
     tell(sync, "c1", 1.0, routing_version=5)
     assert fetches(sync, "c1") == 0
+
+
+def test_new_seeds_are_asked_beside_those_that_the_log_named(sync):
+    tell(sync, "c1", 1.0, control=nodes("c1", "c3"), control_index=7)
+    seed = ControlPeer(vm="c9", host="c9", port=1, http_port=2)
+    sync.handle([SetSeeds((seed,))], Instant(1.1))
+    assert set(sync._peers) == {"c1", "c3", "c9"}
