Accept uploads, and load reports with further figures

Cause: a deployment whose requests include uploads was not served at all. Its routing table was refused as a whole (`route_type: 'upload'` is malformed), and every load report with a fourth figure was dropped as unreadable, so that a gateway there would have known nothing of the load that other gateways cause.

Change: an upload may run at most once, like other requests that aren't idempotent. What the fourth figure is used for is left to a change of its own.

--- a/src/snipecart/gateway/backends.py
+++ b/src/snipecart/gateway/backends.py
@@ -22,6 +22,7 @@
 from ..core.task import monotonic
 from ..wire.frames import keep_alive_options
 from .headers import end_to_end
+from .load_report import parse_load_report
 from .metrics import CONNECTIONS
 from .reader import KeepAliveSocket
 from .request import HttpAnswer
@@ -263,7 +264,7 @@
 
     def _make_result(self, answer: HttpAnswer, seconds: float) -> SendResult:
         headers = {name.lower(): value for name, value in answer.headers}
-        load = _parse_load_report(headers.get(self._names.load_report.lower(), ""))
+        load = parse_load_report(headers.get(self._names.load_report.lower(), ""))
         end = SendOutcome.ANSWERED
         if answer.status == MISDIRECTED_STATUS:
             end = SendOutcome.MISDIRECTED
@@ -297,11 +298,3 @@
     if found and seconds.isdecimal():
         return max(0.0, int(seconds) - IDLE_MARGIN_SECONDS)
     return DEFAULT_IDLE_SECONDS
-
-
-def _parse_load_report(header: str) -> tuple[int, int, int] | None:
-    parts = header.split(",")
-    if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
-        return None
-    running, waiting, slots = (int(part) for part in parts)
-    return running, waiting, slots
--- a/src/snipecart/gateway/balancing/server.py
+++ b/src/snipecart/gateway/balancing/server.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from ...messages.discovery import Instance
+    from ..load_report import LoadReport
 
 LOAD_REPORT_MAX_AGE = 1.5
 """Seconds until the weight of a load report has fallen to zero."""
@@ -215,10 +216,9 @@
         """Return whether it recently started or restarted."""
         return now < self.cold_until
 
-    def record_load(self, report: tuple[int, int, int], now: Instant) -> None:
-        """Apply a load report, which is ``running, waiting, slots``."""
-        running, waiting, _ = report
-        self.other_load = max(0.0, running + waiting - self.sending)
+    def record_load(self, report: LoadReport, now: Instant) -> None:
+        """Apply a load report."""
+        self.other_load = max(0.0, report.running + report.waiting - self.sending)
         self.load_reported_at = now
 
     def record_send(
--- a/src/snipecart/gateway/request.py
+++ b/src/snipecart/gateway/request.py
@@ -22,6 +22,7 @@
     from ..core.ids import ServiceName
     from ..core.states import SendOutcome
     from ..text.routing import Route
+    from .load_report import LoadReport
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -36,7 +37,8 @@
     expected_instance: str = "Snipecart-Instance"
     """Header with the instance that a request is meant for."""
     load_report: str = "Snipecart-Load"
-    """Header with the load report in an answer, as ``running,waiting,slots``."""
+    """Header with the load report in an answer, as ``running,waiting,slots`` and optionally
+    the time that work takes, in percent of the usual time."""
     not_run: str = "Snipecart-Not-Run"
     """Header of an answer to a request that the backend server did not run."""
 
@@ -156,8 +158,7 @@
     """Time from the start of the send to its end."""
     answer: HttpAnswer | None = None
     """Complete answer; None if there was none."""
-    load_report: tuple[int, int, int] | None = None
-    """Running requests, waiting requests and slots; None if not reported."""
+    load_report: LoadReport | None = None
     detail: str = ""
 
 
--- a/src/snipecart/platform/names.py
+++ b/src/snipecart/platform/names.py
@@ -24,7 +24,7 @@
 START_EVACUATION = "/-/Evacuations.Start/"
 STOP_EVACUATION = "/-/Evacuations.Stop/"
 
-IDEMPOTENT = {"safe": True, "unsafe": False}
+IDEMPOTENT = {"safe": True, "unsafe": False, "upload": False}
 """Whether the requests of a route type may run more than once."""
 
 DRAINING = "draining"
--- a/tests/gateway/simulation.py
+++ b/tests/gateway/simulation.py
@@ -11,6 +11,7 @@
 from snipecart.core.ids import Instant
 from snipecart.core.states import SendOutcome
 from snipecart.gateway.balancing.outcome import record_send
+from snipecart.gateway.load_report import LoadReport
 from snipecart.gateway.request import HttpAnswer
 from snipecart.gateway.request import SendResult
 from tests.gateway.world import Gateway
@@ -163,7 +164,7 @@
         sent = SendResult(SendOutcome.TIMED_OUT, TIMEOUT)
     else:
         load = servers[destination.instance].load(at)
-        report = (min(load, SLOTS), max(0, load - SLOTS), SLOTS)
+        report = LoadReport(min(load, SLOTS), max(0, load - SLOTS), SLOTS)
         sent = SendResult(
             SendOutcome.ANSWERED, at - started_at, HttpAnswer(200, "", (), b""), report
         )
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -10,6 +10,7 @@
 from snipecart.core.states import SendOutcome
 from snipecart.core.task import monotonic
 from snipecart.gateway.backends import BackendConnectionPool
+from snipecart.gateway.load_report import LoadReport
 from snipecart.gateway.request import Cancellation
 from snipecart.gateway.request import Destination
 from snipecart.gateway.request import HeaderNames
@@ -145,7 +146,10 @@
     head = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\nSnipecart-Load: 3,2,4\r\n"
     with scripted_server([head + b"Snipecart-Not-Run: 1\r\n\r\n"]) as server:
         result = send(server)
-    assert (result.end, result.load_report) == (SendOutcome.REJECTED, (3, 2, 4))
+    assert (result.end, result.load_report) == (
+        SendOutcome.REJECTED,
+        LoadReport(3, 2, 4),
+    )
     with scripted_server([head + b"\r\n"]) as server:
         assert send(server).end is SendOutcome.ANSWERED
 
--- a/tests/gateway/test_balancing.py
+++ b/tests/gateway/test_balancing.py
@@ -12,6 +12,7 @@
 from snipecart.gateway.balancing.state import PROPAGATION_TIME
 from snipecart.gateway.balancing.state import apply_departure
 from snipecart.gateway.balancing.state import apply_sync
+from snipecart.gateway.load_report import LoadReport
 from snipecart.messages.discovery import SyncAnswer
 from snipecart.text.routing import dump_routing
 
@@ -99,7 +100,7 @@
     gateway = Gateway(ONE).add_instances(make_instance(1), make_instance(2))
     routed = gateway.request()
     first = gateway.select(routed)
-    gateway.end(routed, first, load=(4, 3, 4))
+    gateway.end(routed, first, load=LoadReport(4, 3, 4))
     assert gateway.select().instance != first.instance
 
 
@@ -257,7 +258,7 @@
 
 
 def reject(gateway, routed, destination):
-    gateway.end(routed, destination, SendOutcome.REJECTED, load=(1, 0, 4))
+    gateway.end(routed, destination, SendOutcome.REJECTED, load=LoadReport(1, 0, 4))
 
 
 def test_a_failing_server_is_excluded_while_others_are_sound():
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -75,6 +75,14 @@
     assert routing.services[0].cold_ms == 3000
 
 
+@pytest.mark.parametrize(
+    ("kind", "idempotent"), [("safe", True), ("unsafe", False), ("upload", False)]
+)
+def test_only_safe_requests_may_run_again(kind, idempotent):
+    document = {**MANIFEST, "routes": [{**ROUTE, "route_type": kind}]}
+    assert decode_manifest(encode(document)).ok.routes[0].idempotent is idempotent
+
+
 @pytest.mark.parametrize(
     "change",
     [
