Let a gateway be ready only with a list of servers that is confirmed complete

Cause: a control process calls its list complete once it has run for 1.6 heartbeat intervals, even if the list is empty because no heartbeat has reached it yet. It also became ready as soon as the answer arrived, before the balancer had applied it.

Ruled out: waiting for the gateways before a heartbeat of a new server is acknowledged. It closes this race only, and puts a wait on every start of a server.

Change: the answer of a control process says whether servers that it doesn't list have been silent for the silence timeout, in contact with a majority. A gateway is ready once the balancer has applied the latest answer of the process it follows and every service that a route names has a server, or is known to have none. Once ready it stays so.

A request without a routing table now says in its detail since when there is none and whether any control process has answered.

What refusals this saves in the first seconds after a restart was not measured here.

--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -39,6 +39,7 @@
 from .gateways import GatewayTable
 from .gateways import LookupIndex
 from .gateways import UnconfirmedUpdate
+from .table import SILENCE_TIMEOUT
 from .table import Change
 from .table import InstanceTable
 from .table import UpdateVerdict
@@ -295,7 +296,8 @@
     changes = list(task.instances.changes_since(since, now))
     if not sync.wants_changes:
         changes = []
-    ready = now > task.started_at + task.settle_seconds and task.in_contact(now)
+    in_contact = task.in_contact(now)
+    ready = in_contact and now > task.started_at + task.settle_seconds
     req.reply(
         SyncAnswer(
             task.run_id,
@@ -311,5 +313,6 @@
             committed_state.members_index,
             len(task.gateways.live(now)),
             ready,
+            in_contact and now > task.started_at + SILENCE_TIMEOUT,
         )
     )
--- a/src/snipecart/gateway/balancing/routes.py
+++ b/src/snipecart/gateway/balancing/routes.py
@@ -23,6 +23,9 @@
         self.services: dict[ServiceName, RoutedService] = {
             service.name: service for service in routing.services
         }
+        self.routed_services = frozenset(
+            target.service for route in routing.routes for target in route.targets
+        )
         self._ranks = sorted({route.rank for route in routing.routes})
         for route in routing.routes:
             self._by_host.setdefault(route.host.lower(), {})[route.prefix] = route
--- a/src/snipecart/gateway/balancing/task.py
+++ b/src/snipecart/gateway/balancing/task.py
@@ -20,6 +20,7 @@
 from ...core.registry import Registry
 from ...core.states import SendOutcome
 from ...core.task import Task
+from ...core.task import monotonic
 from ...messages.discovery import InstanceChanged
 from ...messages.discovery import SyncAnswer
 from ...messages.discovery import digest_instances
@@ -82,6 +83,18 @@
     """Reject a retry beyond the retry budget."""
 
 
+@dataclass(frozen=True)
+class SyncPoint:
+    """Name a state of a control process's list of backend servers."""
+
+    source: str
+    """Run of the control process; empty before the first answer."""
+    revision: int
+
+
+NOTHING_APPLIED = SyncPoint("", 0)
+
+
 @dataclass(frozen=True)
 class View:
     """Describe the state for other threads; replaced as a whole, never changed."""
@@ -90,6 +103,18 @@
     evacuation_index: int = 0
     digest: int = digest_instances(())
     """Digest of all stored instances."""
+    applied: SyncPoint = NOTHING_APPLIED
+    """Latest answer of the followed control process that the state includes."""
+    unserved: frozenset[ServiceName] = frozenset()
+    """Services that routes name and no stored server belongs to."""
+
+
+def unserved_services(state: BalancerState) -> frozenset[ServiceName]:
+    """Return the services that routes name and no stored server belongs to."""
+    if state.index is None:
+        return frozenset()
+    served = {item.instance.service for item in state.servers.values()}
+    return state.index.routed_services - served
 
 
 Handler = Callable[["BalancerTask", Any, Instant], None]
@@ -106,6 +131,10 @@
         super().__init__("placing", 16_384)
         self.state = state
         self.view = View()
+        self.applied = NOTHING_APPLIED
+        self.started_at = monotonic()
+        self.control_answered = False
+        """Whether any control process has answered since the start."""
         self.retain_connections = retain_connections
 
     def select_server(self, routed: RoutedRequest) -> Result[Destination, Failure]:
@@ -138,7 +167,19 @@
             state.index,
             int(state.evacuation_index),
             digest_instances(item.instance for item in state.servers.values()),
+            self.applied,
+            unserved_services(state),
+        )
+
+    def describe_missing_routing(self) -> str:
+        """Say since when this gateway has had no routing table, and why."""
+        seconds = monotonic() - self.started_at
+        reason = (
+            "the control processes that answered have none"
+            if self.control_answered
+            else "no control process has answered"
         )
+        return f"none in the {seconds:.1f} s since the start: {reason}"
 
     def _request(
         self, message: SelectServer | SelectRetryServer
@@ -203,6 +244,9 @@
 def handle_sync(task: BalancerTask, answer: SyncAnswer, now: Instant) -> None:
     """Apply the answer of a control process to a sync request."""
     apply_sync(task.state, answer, now)
+    task.control_answered = True
+    if answer.source:
+        task.applied = SyncPoint(answer.source, answer.revision)
     if answer.instances or answer.gone or answer.complete:
         task.retain_connections(
             {item.instance.endpoint for item in task.state.servers.values()}
--- a/src/snipecart/gateway/pipeline.py
+++ b/src/snipecart/gateway/pipeline.py
@@ -83,8 +83,11 @@
     """Find the route of a request and set its deadline."""
     index = ctx.balancer.view.index
     if index is None:
+        failure = NoRouting(ctx.balancer.describe_missing_routing())
         return Error(
-            FailedRequest(NoRouting(), False, choose_retry_after(ctx.rng, req))
+            FailedRequest(
+                failure, False, choose_retry_after(ctx.rng, req.client_timeout_ms)
+            )
         )
     route = index.find(req.host, req.target)
     if route is None:
@@ -174,17 +177,17 @@
     failure: Failure,
     attempts: tuple[Attempt, ...],
 ) -> FailedRequest:
-    retry_after = choose_retry_after(ctx.rng, routed.req)
+    retry_after = choose_retry_after(ctx.rng, routed.req.client_timeout_ms)
     return FailedRequest(failure, False, retry_after, routed, attempts)
 
 
-def choose_retry_after(rng: Random, req: HttpRequest) -> float:
+def choose_retry_after(rng: Random, client_timeout_ms: int) -> float:
     """Return the seconds after which a rejected client should retry.
 
     Retries are spread at random so that they don't arrive all at once. The interval
     grows with the client's timeout, as an overload may have ended by then.
     """
     spread = max(
-        MIN_RETRY_SPREAD_SECONDS, RETRY_SPREAD_RATIO * req.client_timeout_ms / 1000
+        MIN_RETRY_SPREAD_SECONDS, RETRY_SPREAD_RATIO * client_timeout_ms / 1000
     )
     return MIN_RETRY_AFTER_SECONDS + spread * rng.random()
--- a/src/snipecart/gateway/request.py
+++ b/src/snipecart/gateway/request.py
@@ -37,8 +37,7 @@
     expected_instance: str = "Snipecart-Instance"
     """Header with the instance that a request is meant for."""
     load_report: str = "Snipecart-Load"
-    """Header with the load report in an answer, as ``running,waiting,slots`` and optionally
-    the time that work takes, in percent of the usual time."""
+    """Header with the load report in an answer, in the format of ``load_report.py``."""
     not_run: str = "Snipecart-Not-Run"
     """Header of an answer to a request that the backend server did not run."""
 
--- a/src/snipecart/gateway/sync.py
+++ b/src/snipecart/gateway/sync.py
@@ -22,9 +22,9 @@
 from ..messages.discovery import RoutingChanged
 from ..messages.discovery import SyncAnswer
 from ..messages.discovery import SyncRequest
-from ..messages.discovery import digest_instances
 from ..wire.codec import Envelope
 from ..wire.links import Link
+from .balancing.task import SyncPoint
 
 if TYPE_CHECKING:
     from ..messages.commands import Node
@@ -55,8 +55,6 @@
 bandwidth on a slow link.
 """
 
-EMPTY_DIGEST = digest_instances(())
-
 
 @dataclass(frozen=True)
 class SetLeaving:
@@ -109,12 +107,16 @@
         self.gateway = gateway
         self.leaving = False
         self.complete = False
-        """Whether the list of backend servers is complete enough to serve."""
+        """Whether the list of backend servers has been complete enough to serve."""
         self._seeds = _addresses_by_vm(seeds)
         self._host, self._balancer = host, balancer
         self._peers: dict[VmName, Peer] = {}
         self._followed = VmName("")
         self._source, self._revision = "", 0
+        self._followed_ready = False
+        """Whether the followed process had a heartbeat of every server."""
+        self._absent_are_gone = False
+        """Whether servers that the followed process does not list are gone."""
         self._control_index = LogIndex(0)
         self._nodes: tuple[Node, ...] = ()
         """Control processes named by the log entry at ``_control_index``."""
@@ -168,6 +170,7 @@
                 self._update_links(self._nodes)
             elif isinstance(message, PeerMessage):
                 self._handle_peer_message(message, now)
+        self.complete = self.complete or self._list_is_complete(now)
         if now >= self._next_sync_at:
             starting = not (self.ready or self.leaving)
             self._next_sync_at = Instant(
@@ -204,11 +207,10 @@
             self._first_answered_at = now
         if vm == self._followed:
             self._source, self._revision = answer.source, answer.revision
-            timed_out = now > self._first_answered_at + READY_TIMEOUT_SECONDS
-            accept_incomplete = timed_out and self._balancer.view.digest != EMPTY_DIGEST
-            self.complete = self.complete or answer.ready or accept_incomplete
-        elif answer.instances or answer.complete or answer.gone:
-            answer = replace(answer, instances=(), gone=(), complete=False)
+            self._followed_ready = answer.ready
+            self._absent_are_gone = answer.absent_are_gone
+        else:
+            answer = replace(answer, source="", instances=(), gone=(), complete=False)
         self._balancer.post(answer)
         if not answer.routing:
             self._fetch_newer_routing(vm, answer.routing_version, 0, now)
@@ -216,6 +218,24 @@
             self._control_index, self._nodes = answer.control_index, answer.control
             self._update_links(self._nodes)
 
+    def _list_is_complete(self, now: Instant) -> bool:
+        """Return whether the balancer's list of backend servers is complete.
+
+        The balancer must have applied the latest answer of the followed process. A
+        service without a server counts as complete only once its servers would count
+        as gone: until then their heartbeats may be on their way.
+        """
+        view = self._balancer.view
+        latest = SyncPoint(self._source, self._revision)
+        if view.index is None or not self._source or view.applied != latest:
+            return False
+        if view.unserved and not self._absent_are_gone:
+            return False
+        return (
+            self._followed_ready
+            or now > self._first_answered_at + READY_TIMEOUT_SECONDS
+        )
+
     def _select_followed(self, now: Instant) -> None:
         """Keep following a ready control process that answers, or select another.
 
@@ -235,6 +255,7 @@
         if vm != self._followed:
             self._followed = vm
             self._source, self._revision = "", 0
+            self._followed_ready = self._absent_are_gone = False
             emit(SYNC_SOURCE_SELECTED, vm=vm, ready=self._peers[vm].ready)
 
     def _fetch_newer_routing(
--- a/src/snipecart/messages/discovery.py
+++ b/src/snipecart/messages/discovery.py
@@ -107,6 +107,9 @@
     gateways: int
     ready: bool
     """Whether the process has run long enough to have a heartbeat of every server."""
+    absent_are_gone: bool
+    """Whether a server that the process does not list has been silent for so long that
+    it counts as gone."""
 
 
 @message
--- a/src/snipecart/wire/schema.capnp
+++ b/src/snipecart/wire/schema.capnp
@@ -96,6 +96,7 @@
   gone @4 :List(Text); routingVersion @5 :UInt64; routing @6 :Data;
   evacuationIndex @7 :UInt64; evacuated @8 :List(Text); control @9 :List(Node);
   gateways @10 :UInt32; ready @11 :Bool; controlIndex @12 :UInt64;
+  absentAreGone @13 :Bool;
 }
 struct InstanceChanged { instance @0 :Instance; gone @1 :Bool; }
 struct InstanceSeen { gateway @0 :Text; instance @1 :Text; }
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -11,6 +11,7 @@
 from snipecart.control.discovery.task import CommittedState
 from snipecart.control.discovery.task import DiscoveryTask
 from snipecart.control.discovery.task import InstanceUpdate
+from snipecart.core.ids import Instant
 from snipecart.core.states import EndpointState
 from snipecart.core.states import MemberState
 from snipecart.messages.commands import Node
@@ -135,6 +136,9 @@
     def send_sync(self, name, now):
         self.send_request(make_request(name), now)
 
+    def send_sync_answer(self, name, now):
+        return self.send_request(make_request(name), now)
+
     def send_request(self, req, now):
         self.task.handle([IncomingMessage(req, self.pushed.append)], now)
         return self.pushed[-1]
@@ -265,6 +269,20 @@
     assert control.send_request(make_request("g1", control_index=7), 50.1).control == ()
 
 
+def test_absent_servers_are_gone_only_after_the_silence_timeout_in_contact():
+    control = TaskDriver()
+    start = control.task.started_at = 50.0
+    answers = {}
+    for step in range(1, 20):
+        seconds = step / 2
+        control.receive_gossip(Instant(start + seconds), "c2")
+        answers[seconds] = control.send_sync_answer("g1", Instant(start + seconds))
+    gone = {seconds for seconds, answer in answers.items() if answer.absent_are_gone}
+    assert gone == {seconds for seconds in answers if seconds > SILENCE_TIMEOUT}
+    control.task.contacts.clear()
+    assert not control.send_sync_answer("g1", Instant(start + 9.6)).absent_are_gone
+
+
 def test_lookups_return_serving_gateways_of_the_clients_region():
     nearby = make_gateway("g1")
     distant = make_gateway("g2", "south")
--- a/tests/gateway/test_balancing.py
+++ b/tests/gateway/test_balancing.py
@@ -39,6 +39,7 @@
         "control_index": 0,
         "gateways": 3,
         "ready": True,
+        "absent_are_gone": False,
     }
     return SyncAnswer(**{**fields, **overrides})
 
--- a/tests/gateway/test_retry_delay.py
+++ b/tests/gateway/test_retry_delay.py
@@ -2,24 +2,15 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
 from random import Random
 
 from snipecart.gateway.pipeline import choose_retry_after
-from tests.gateway.world import Gateway
-from tests.gateway.world import make_route
-from tests.gateway.world import make_routing
-
-REQUEST = Gateway(make_routing(make_route())).request().req
 
 
 def retry_delays(wait_ms):
     """Return the retry delays of many clients."""
     rng = Random(7)
-    return [
-        choose_retry_after(rng, replace(REQUEST, client_timeout_ms=wait_ms))
-        for _ in range(500)
-    ]
+    return [choose_retry_after(rng, wait_ms) for _ in range(500)]
 
 
 def test_clients_with_short_timeouts_retry_soon():
--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -10,6 +10,8 @@
 from snipecart.core.ids import Instant
 from snipecart.core.states import MemberState
 from snipecart.gateway import sync as sync_module
+from snipecart.gateway.balancing.task import SyncPoint
+from snipecart.gateway.balancing.task import View
 from snipecart.gateway.sync import PeerMessage
 from snipecart.gateway.sync import SetSeeds
 from snipecart.gateway.sync import SyncTask
@@ -19,7 +21,7 @@
 from snipecart.messages.discovery import SyncAnswer
 from snipecart.program.settings import ControlPeer
 
-ANSWER = SyncAnswer("s", 1, False, (), (), 0, b"", 0, (), (), 0, 1, True)
+ANSWER = SyncAnswer("s", 1, False, (), (), 0, b"", 0, (), (), 0, 1, True, False)
 
 
 class RecordingLink:
@@ -44,7 +46,7 @@
     """Record the messages posted to the balancer."""
 
     def __init__(self):
-        self.view = SimpleNamespace(index=None, evacuation_index=0, digest=0)
+        self.view = View()
         self.received = []
 
     def post(self, message):
@@ -127,7 +129,7 @@
 
 def test_the_current_routing_table_is_not_fetched_again(sync):
     routing = SimpleNamespace(version=5)
-    sync._balancer.view.index = SimpleNamespace(routing=routing)
+    sync._balancer.view = View(index=SimpleNamespace(routing=routing))
     deliver_answer(sync, "c1", 1.0, routing_version=5)
     assert count_fetches(sync, "c1") == 0
 
@@ -137,3 +139,57 @@
     seed = ControlPeer(vm="c9", host="c9", port=1, http_port=2)
     sync.handle([SetSeeds((seed,))], Instant(1.1))
     assert set(sync._peers) == {"c1", "c3", "c9"}
+
+
+TABLE = SimpleNamespace(routing=SimpleNamespace(version=5))
+
+
+def follow_one(task, now):
+    """Make a sync task follow its only answering control process."""
+    deliver_answer(task, "c1", now, ready=False)
+    task.handle([], Instant(now + 1.0))
+
+
+def apply_answers(task, revision, unserved=()):
+    """Publish a view as the balancer does after it has applied an answer."""
+    task._balancer.view = View(
+        index=TABLE, applied=SyncPoint("s", revision), unserved=frozenset(unserved)
+    )
+
+
+def test_a_gateway_is_not_ready_before_the_answer_is_applied(sync):
+    follow_one(sync, 1.0)
+    sync._balancer.view = View(index=TABLE)
+    deliver_answer(sync, "c1", 2.1, revision=8)
+    assert not sync.ready
+    apply_answers(sync, 8)
+    sync.handle([], Instant(2.2))
+    assert sync.ready
+
+
+def test_a_gateway_is_not_ready_while_a_service_may_only_seem_to_have_no_server(sync):
+    follow_one(sync, 1.0)
+    apply_answers(sync, 1, unserved=("racks",))
+    deliver_answer(sync, "c1", 9.0)
+    assert not sync.ready
+    deliver_answer(sync, "c1", 9.1, absent_are_gone=True)
+    assert sync.ready
+
+
+def test_a_gateway_stays_ready_when_a_service_loses_its_servers(sync):
+    follow_one(sync, 1.0)
+    apply_answers(sync, 1)
+    deliver_answer(sync, "c1", 2.1)
+    apply_answers(sync, 1, unserved=("racks",))
+    deliver_answer(sync, "c1", 2.2)
+    assert sync.ready
+
+
+def test_a_gateway_accepts_an_incomplete_list_only_if_it_serves_every_service(sync):
+    follow_one(sync, 1.0)
+    apply_answers(sync, 1, unserved=("racks",))
+    deliver_answer(sync, "c1", 9.0, ready=False)
+    assert not sync.ready
+    apply_answers(sync, 1)
+    deliver_answer(sync, "c1", 9.1, ready=False)
+    assert sync.ready
