Bound the memory for request bodies, and hold the first request to the limits

Cause: a gateway read each body whole without a bound over all requests: 160 threads may hold 64 MiB each. A chunk was read whole before any check, a chunk's size was parsed by int() (which takes `+3`, `0x3` and `1_0`), and a client that sent its body slowly held a thread without a limit on the whole time. The limits of the routing table were applied by the first request of a process to those after it, so the first one escaped them.

Ruled out: a reservation of the whole declared length before the body arrives. A few clients that declare large bodies and send nothing would then hold all of the memory.

Change: `gateway/body.py` reads a body in pieces of at most 64 KiB, straight from the socket once the buffered bytes are used, and reserves memory for each from a bound for the process (`body_memory_mb`). A body whose length doesn't fit is rejected before it is read, with 503, Retry-After and its own reason, since nothing was sent to a backend server; the rest of what the client sends is discarded for half a second, so that it gets the answer and not a reset. A body ends at the client's deadline. Chunk sizes are hexadecimal digits, lines and trailers are bounded. Event 3404, gauge snipecart_gateway_body_bytes, counter by the reasons body_memory_full and body_too_slow.

Streaming was not built or measured.

--- a/src/snipecart/core/events.py
+++ b/src/snipecart/core/events.py
@@ -129,6 +129,9 @@
     3402, logbook.INFO, "client disconnected, request cancelled"
 )
 REQUEST_MALFORMED = register_event(3403, logbook.WARNING, "malformed request rejected")
+REQUEST_UNREAD = register_event(
+    3404, logbook.WARNING, "request rejected, its body was not read completely"
+)
 LOG_LINES_DROPPED = register_event(1007, logbook.WARNING, "log lines dropped")
 SETTINGS_RELOADED = register_event(1008, logbook.NOTICE, "settings reloaded")
 SERVER_ERROR = register_event(1009, logbook.ERROR, "HTTP server reported an error")
--- a/src/snipecart/core/failures.py
+++ b/src/snipecart/core/failures.py
@@ -50,6 +50,18 @@
     category = Category.TOO_LARGE
 
 
+class BodyMemoryFull(Failure):
+    """Reject a request for whose body this process has no memory left."""
+
+    category = Category.UNAVAILABLE
+
+
+class BodyTooSlow(Failure):
+    """Reject a request whose body did not arrive by the client's deadline."""
+
+    category = Category.UNAVAILABLE
+
+
 class UnknownService(Failure):
     """Reject a call to a service that the configuration does not list."""
 
--- a/src/snipecart/gateway/factory.py
+++ b/src/snipecart/gateway/factory.py
@@ -23,6 +23,7 @@
 from .balancing.state import BalancerState
 from .balancing.state import Locality
 from .balancing.task import BalancerTask
+from .body import BodyMemory
 from .pipeline import GatewayContext
 from .pipeline import make_pipeline
 from .server import RequestContext
@@ -39,6 +40,8 @@
     from ..program.settings import GatewaySettings
     from .request import HeaderNames
 
+BYTES_PER_MB = 1_000_000
+
 DRAIN_POLL_SECONDS = 0.1
 """Time between two checks whether all requests have ended."""
 
@@ -100,7 +103,14 @@
     then rejects new ones and waits until ``cfg.stop_s`` for those in progress.
     """
     ctx = GatewayContext(tasks.balancer, tasks.backends, Random())
-    request_ctx = RequestContext(make_pipeline(ctx), names, tasks.watch, tasks.balancer)
+    request_ctx = RequestContext(
+        make_pipeline(ctx),
+        names,
+        tasks.watch,
+        tasks.balancer,
+        BodyMemory(int(cfg.body_memory_mb * BYTES_PER_MB)),
+        ctx.rng,
+    )
     listener = HttpListener(cfg.host, cfg.port, cfg.threads)
     with serving_requests(listener, request_ctx) as server:
         yield
--- a/src/snipecart/gateway/metrics.py
+++ b/src/snipecart/gateway/metrics.py
@@ -21,6 +21,9 @@
 CONNECTIONS = Counter(
     "snipecart_gateway_connections", "Connections opened to backend servers"
 )
+BODY_BYTES = Gauge(
+    "snipecart_gateway_body_bytes", "Bytes of request bodies that are held in memory"
+)
 REQUEST_SECONDS = Histogram(
     "snipecart_gateway_request_seconds",
     "Time from taking a request to its answer",
--- a/src/snipecart/gateway/server.py
+++ b/src/snipecart/gateway/server.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from cheroot.errors import MaxSizeExceeded
 from cheroot.server import Gateway
 from cheroot.server import HTTPServer
 from expression import Error
@@ -17,12 +16,14 @@
 from ..core.events import CLIENT_DISCONNECTED
 from ..core.events import REQUEST_ENDED
 from ..core.events import REQUEST_MALFORMED
+from ..core.events import REQUEST_UNREAD
 from ..core.events import emit
 from ..core.failures import BadCall
-from ..core.failures import BodyTooLarge
 from ..core.failures import Category
 from ..core.failures import ClientGone
+from ..core.failures import Failure
 from ..core.failures import Stopping
+from ..core.ids import Instant
 from ..core.ids import ObjectKey
 from ..core.ids import RequestId
 from ..core.states import DrainState
@@ -33,10 +34,17 @@
 from ..program.answers import to_json
 from ..program.http import make_http_server
 from ..program.http import running_server
+from .body import BodyFraming
+from .body import BodyMemory
+from .body import BodyReservation
+from .body import discard_input
+from .body import read_body
+from .body import reserving
 from .headers import end_to_end
 from .metrics import REFUSALS
 from .metrics import REQUEST_SECONDS
 from .metrics import REQUESTS
+from .pipeline import choose_retry_after
 from .request import AnsweredRequest
 from .request import Attempt
 from .request import Cancellation
@@ -45,6 +53,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
+    from random import Random
 
     from ..core.pipe import Pipe
     from ..program.listener import HttpListener
@@ -55,6 +64,9 @@
 
 MAX_TIMEOUT_DIGITS = 9
 
+MAX_BODY_SECONDS = 60.0
+"""Longest time that a client may take to send a body."""
+
 LEAVING_RETRY_AFTER_SECONDS = 0.1
 """``Retry-After`` of requests that arrive after the gateway stopped accepting."""
 
@@ -69,6 +81,8 @@
     names: HeaderNames
     watch: WatchTask
     balancer: BalancerTask
+    body_memory: BodyMemory
+    rng: Random
     drain_state: DrainState = DrainState.OPEN
 
 
@@ -79,11 +93,15 @@
         """Read one request, run it through the pipeline and write its answer."""
         ctx: RequestContext = self.req.server.ctx
         _apply_limits(self.req.server, ctx)
-        request = self._read_request(ctx)
-        if request.is_error():
-            self._send_rejection(ctx, request.error)
-            return
-        req = request.ok
+        with reserving(ctx.body_memory) as reservation:
+            request = self._read_request(ctx, reservation)
+            if request.is_ok():
+                self._handle(ctx, request.ok)
+            else:
+                self._send_rejection(ctx, request.error)
+
+    def _handle(self, ctx: RequestContext, req: HttpRequest) -> None:
+        """Run a request through the pipeline and write its answer."""
         if ctx.drain_state is DrainState.CLOSED:
             self._send_failure(
                 ctx, req, FailedRequest(Stopping(), False, LEAVING_RETRY_AFTER_SECONDS)
@@ -97,8 +115,10 @@
         else:
             self._send_failure(ctx, req, result.error)
 
-    def _read_request(self, ctx: RequestContext) -> Result[HttpRequest, BadCall]:
-        """Return the request with its complete body, or BadCall or BodyTooLarge."""
+    def _read_request(
+        self, ctx: RequestContext, reservation: BodyReservation
+    ) -> Result[HttpRequest, Failure]:
+        """Return the request with its complete body, or why it can't be read."""
         received_at = monotonic()
         raw = self.req
         try:
@@ -121,7 +141,7 @@
                     f"{ctx.names.deadline_ms} is not a valid number of milliseconds"
                 )
             )
-        body = self._read_body()
+        body = self._read_body(received_at, int(timeout), reservation)
         if body.is_error():
             return body
         gateway_headers = {
@@ -146,23 +166,23 @@
             )
         )
 
-    def _read_body(self) -> Result[bytes, BadCall]:
+    def _read_body(
+        self, received_at: Instant, timeout_ms: int, reservation: BodyReservation
+    ) -> Result[bytes, Failure]:
         raw = self.req
-        length = int(raw.inheaders.get(b"Content-Length", 0) or 0)
-        if not raw.chunked_read and not length:
-            return Ok(b"")
-        try:
-            body = raw.rfile.read()
-            if raw.chunked_read:
-                for _ in raw.rfile.read_trailer_lines():
-                    pass
-        except MaxSizeExceeded:
-            return Error(BodyTooLarge())
-        except ValueError as exc:
-            return Error(BadCall(str(exc)))
-        if not raw.chunked_read and len(body) < length:
-            return Error(BadCall("body is shorter than Content-Length"))
-        return Ok(body)
+        length = raw.inheaders.get(b"Content-Length", b"0")
+        if not length.isdigit():
+            return Error(BadCall("Content-Length is not a number"))
+        seconds = timeout_ms / 1000 if timeout_ms else MAX_BODY_SECONDS
+        framing = BodyFraming(
+            int(length),
+            raw.chunked_read,
+            raw.server.max_request_body_size,
+            Instant(received_at + min(seconds, MAX_BODY_SECONDS)),
+        )
+        # cheroot would read what its own wrapper of the stream has not seen.
+        raw.rfile = raw.conn.rfile
+        return read_body(raw.rfile, framing, reservation)
 
     def _send_answer(
         self, ctx: RequestContext, req: HttpRequest, answered: AnsweredRequest
@@ -227,15 +247,30 @@
             ctx, f"{status} Not Served".encode(), headers, _failure_body(failed), status
         )
 
-    def _send_rejection(self, ctx: RequestContext, failure: BadCall) -> None:
-        """Write the answer to a malformed request, and close its connection."""
-        emit(REQUEST_MALFORMED, reason=failure.reason, detail=failure.detail)
+    def _send_rejection(self, ctx: RequestContext, failure: Failure) -> None:
+        """Write the answer to a request that was not read, and close its connection.
+
+        Discard what the client still sends for a short time: closing a connection with
+        unread bytes resets it, and the client would not get the answer.
+        """
+        fields = {name.lower(): value for name, value in self.req.inheaders.items()}
+        name = ctx.names.request_id.lower().encode()
+        emit(
+            REQUEST_MALFORMED if isinstance(failure, BadCall) else REQUEST_UNREAD,
+            request=fields.get(name, b"").decode("latin-1"),
+            reason=failure.reason,
+            detail=failure.detail,
+        )
         REFUSALS.labels(failure.reason).inc()
         self.req.close_connection = True
         status = HTTP_STATUS[failure.category]
         body = to_json(describe_failure(failure))
         headers = [(b"Content-Type", JSON_CONTENT_TYPE.encode())]
+        if failure.category is Category.UNAVAILABLE:
+            retry_after = choose_retry_after(ctx.rng, 0)
+            headers.append((b"Retry-After", f"{retry_after:.2f}".encode()))
         self._write_response(ctx, f"{status} Refused".encode(), headers, body, status)
+        discard_input(self.req.conn.socket)
 
     def _write_response(
         self,
--- a/src/snipecart/platform/settings.py
+++ b/src/snipecart/platform/settings.py
@@ -32,6 +32,12 @@
 METRICS_PORT_OFFSET = 2
 """Offset from the first internal port to the port of the metrics page."""
 
+BODY_MEMORY_FRACTION = 0.25
+"""Fraction of a VM's memory for the bodies of requests in progress."""
+
+DEFAULT_MEMORY_MB = 256.0
+"""Memory of a VM whose settings state none."""
+
 
 @dataclass(frozen=True)
 class Address:
@@ -72,6 +78,11 @@
         """Return the address of the metrics page."""
         return Address(self.host, self.internal_port + METRICS_PORT_OFFSET)
 
+    @property
+    def memory_mb(self) -> float:
+        """Return the memory that a process may use on this VM, in megabytes."""
+        return self.fields.get("limits", {}).get("memory_mb") or DEFAULT_MEMORY_MB
+
     def bound_ms(self, name: str, default: int) -> int:
         """Return an entry of ``bounds`` that is a duration, in milliseconds."""
         value = self._bounds().get(name)
@@ -145,6 +156,7 @@
                 "window_s": platform.bound_ms("budget_window", 10_000) / 1000,
                 "slack": platform.bound("budget_slack", 10.0),
             },
+            body_memory_mb=platform.memory_mb * BODY_MEMORY_FRACTION,
             link_mbps=platform.fields.get("limits", {}).get("link_mbps", 0.0),
             linger_s=grace / 2,
             stop_s=grace * 0.87,
--- a/src/snipecart/program/settings.py
+++ b/src/snipecart/program/settings.py
@@ -120,6 +120,8 @@
     port: Port
     ready_port: Port
     threads: Annotated[int, Field(ge=4, le=1024)] = 160
+    body_memory_mb: Annotated[float, Field(gt=0)] = 64.0
+    """Memory for the bodies of all requests in progress, in megabytes."""
     control: Annotated[tuple[ControlPeer, ...], Field(min_length=1)]
     """Control processes to contact first; they name the others."""
     retries: RetryBudgetSettings = RetryBudgetSettings()
--- /dev/null
+++ b/tests/gateway/test_server.py
@@ -0,0 +1,130 @@
+"""Test over sockets how a gateway reads requests whose bodies it can't hold."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import contextmanager
+from random import Random
+from types import SimpleNamespace
+
+import pytest
+from expression import Ok
+
+from snipecart.core.states import SendOutcome
+from snipecart.gateway.balancing.routes import RouteIndex
+from snipecart.gateway.balancing.task import View
+from snipecart.gateway.body import BodyMemory
+from snipecart.gateway.request import AnsweredRequest
+from snipecart.gateway.request import Attempt
+from snipecart.gateway.request import HeaderNames
+from snipecart.gateway.request import HttpAnswer
+from snipecart.gateway.server import RequestContext
+from snipecart.gateway.server import serving_requests
+from snipecart.gateway.watch import WatchTask
+from snipecart.program.listener import HttpListener
+from tests.gateway.world import Gateway
+from tests.gateway.world import make_instance
+from tests.gateway.world import make_route
+from tests.gateway.world import make_routing
+
+HOST, PORT = "127.64.0.1", 8180
+ROUTING = make_routing(make_route())
+LIMITED = ROUTING.model_copy(
+    update={"limits": ROUTING.limits.model_copy(update={"body_bytes": 1000})}
+)
+
+
+class EchoPipeline:
+    """Answer each request with its own body."""
+
+    def __init__(self):
+        self.received = []
+
+    def run(self, req):
+        """Return the body as the answer of a backend server."""
+        self.received.append(req.body)
+        gateway = Gateway(ROUTING).add_instances(make_instance(1))
+        routed = gateway.request()
+        attempt = Attempt(gateway.select(routed), SendOutcome.ANSWERED, 0.1)
+        answer = HttpAnswer(200, "Fine", (), req.body)
+        return Ok(AnsweredRequest(routed, answer, (attempt,)))
+
+
+@contextmanager
+def gateway_server(routing=ROUTING, body_memory=1_000_000):
+    """Run the HTTP server of a gateway with a pipeline that echoes bodies."""
+    balancer = SimpleNamespace(view=View(index=RouteIndex(routing)))
+    pipeline = EchoPipeline()
+    ctx = RequestContext(
+        pipeline,
+        HeaderNames(),
+        WatchTask(),
+        balancer,
+        BodyMemory(body_memory),
+        Random(7),
+    )
+    with serving_requests(HttpListener(HOST, PORT, 8), ctx):
+        yield pipeline
+
+
+def exchange(*pieces):
+    """Send bytes on one connection; return all bytes received until it closes."""
+    with socket.create_connection((HOST, PORT), timeout=5.0) as sock:
+        for piece in pieces:
+            sock.sendall(piece)
+        data = b""
+        while chunk := sock.recv(65536):
+            data += chunk
+    return data
+
+
+def post(body=b"", headers=b"", length=None):
+    length = len(body) if length is None else length
+    head = b"POST /look/x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n" % length
+    return head + headers + b"\r\n" + body
+
+
+CLOSE = b"Connection: close\r\n"
+
+
+def test_a_kept_connection_carries_several_bodies():
+    with gateway_server() as pipeline:
+        chunked = b"POST /look/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+        data = exchange(
+            post(b"one" * 50_000),
+            chunked + b"\r\n3\r\ntwo\r\n0\r\n\r\n",
+            post(b"three", CLOSE),
+        )
+    assert data.count(b"HTTP/1.1 200 Fine") == 3
+    assert pipeline.received == [b"one" * 50_000, b"two", b"three"]
+
+
+def test_a_client_gets_the_rejection_of_a_body_that_it_is_still_sending():
+    with gateway_server(body_memory=100_000) as pipeline:
+        data = exchange(post(b"x" * 1_000_000))
+    assert data.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After: " in data
+    assert b"body_memory_full" in data
+    assert pipeline.received == []
+
+
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        post(b"x" * 1001),
+        b"POST /look/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3E9\r\n" + b"x" * 1001 + b"\r\n0\r\n\r\n",
+    ],
+)
+def test_the_first_request_of_a_process_is_held_to_the_limit(request_bytes):
+    with gateway_server(routing=LIMITED) as pipeline:
+        data = exchange(request_bytes)
+    assert data.startswith(b"HTTP/1.1 413 ")
+    assert pipeline.received == []
+
+
+def test_memory_is_free_again_after_each_request():
+    with gateway_server(body_memory=100_000) as pipeline:
+        for _ in range(5):
+            assert b"200 Fine" in exchange(post(b"x" * 90_000, CLOSE))
+    assert len(pipeline.received) == 5
