Survive a data folder that refuses writes, without a restart

Cause: an error of any write, sync or rename ended the disk task, and with it the control process. A full disk thus took the process down again and again, with its instances of backend servers; a partial write could leave a torn record in the middle of the log if the process went on, and a failed sync was not followed by writing the data again.

Ruled out: ending the process and leaving the rest to its restart. It comes back to the same full disk, its discovery state is lost each time, and a platform counts its ends.

The node is told (DiskState): while blocked it doesn't lead, vote or take entries, so that none pile up in memory.

--- a/src/snipecart/cli/operator.py
+++ b/src/snipecart/cli/operator.py
@@ -251,7 +251,8 @@
         lines.append(
             f"{address}: {node_status['role']}, term {node_status['term']}, "
             f"committed {node_status['commit']}, "
-            f"configuration {node_status['accepted_version']}"
+            f"configuration {node_status['accepted_version']}, "
+            f"disk {node_status['disk']}"
         )
         if node_status["role"] == "leader":
             lines += _describe_leader(node_status)
--- a/src/snipecart/control/disk/records.py
+++ b/src/snipecart/control/disk/records.py
@@ -5,6 +5,7 @@
 import os
 import struct
 import zlib
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
@@ -121,8 +122,14 @@
     After a crash at any point it has either the old or the new content.
     """
     temporary = path.with_name(path.name + ".new")
-    with temporary.open("wb") as stream:
-        stream.write(data)
-        sync_file(stream)
-    temporary.replace(path)
+    try:
+        with temporary.open("wb") as stream:
+            stream.write(data)
+            sync_file(stream)
+        temporary.replace(path)
+    except OSError:
+        # On a full disk, an incomplete copy would keep room that is needed.
+        with suppress(OSError):
+            temporary.unlink(missing_ok=True)
+        raise
     sync_folder(path.parent)
--- a/src/snipecart/control/disk/store.py
+++ b/src/snipecart/control/disk/store.py
@@ -150,12 +150,20 @@
 
 
 class Store:
-    """Write the log file and the snapshot file of one data folder."""
+    """Write the log file and the snapshot file of one data folder.
+
+    After an OSError of any method, everything since the last successful ``sync`` or
+    ``replace`` must be written again: a failed sync may have lost what was written.
+    """
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         self._stream = (folder / LOG_FILE).open("ab", buffering=0)
         self._unwritten = bytearray()
+        self._durable_size = self._stream.tell()
+        """Size of the log file as of the last sync."""
+        self._has_unsynced_tail = False
+        """Whether the log file may be longer than ``_durable_size``."""
         sync_folder(folder)
 
     def write(self, batch: DiskBatch) -> None:
@@ -167,23 +175,32 @@
 
         They are appended in a single write, so that no valid record follows a torn one.
         """
-        if self._unwritten:
-            write_all(self._stream, bytes(self._unwritten))
-            self._unwritten.clear()
+        data = bytes(self._unwritten)
+        self._unwritten.clear()
+        if self._has_unsynced_tail:
+            self._stream.truncate(self._durable_size)
+        self._has_unsynced_tail = True
+        write_all(self._stream, data)
         sync_file(self._stream)
+        self._durable_size += len(data)
+        self._has_unsynced_tail = False
 
     def replace(self, snapshot: DiskSnapshot, rest: DiskBatch) -> None:
         """Make a snapshot durable, then replace the log file by the remaining batch.
 
         Buffered batches are discarded: the snapshot and ``rest`` include them.
         """
-        replace_file(self._folder / SNAPSHOT_FILE, encode_record(snapshot))
-        self._stream.close()
         self._unwritten.clear()
+        replace_file(self._folder / SNAPSHOT_FILE, encode_record(snapshot))
         replace_file(self._folder / LOG_FILE, encode_record(rest))
-        self._stream = (self._folder / LOG_FILE).open("ab", buffering=0)
+        stream = (self._folder / LOG_FILE).open("ab", buffering=0)
+        self._stream.close()
+        self._stream = stream
+        self._durable_size = stream.tell()
+        self._has_unsynced_tail = False
 
     def close(self) -> None:
-        """Sync and close the log file."""
-        self.sync()
+        """Sync what was buffered, as far as the disk allows, and close the log file."""
+        with suppress(OSError):
+            self.sync()
         self._stream.close()
--- a/src/snipecart/control/pages.py
+++ b/src/snipecart/control/pages.py
@@ -149,4 +149,5 @@
         ],
         "endpoints": list(status.endpoints),
         "claims": status.claims,
+        "disk": status.disk,
     }
--- a/src/snipecart/control/raft/election.py
+++ b/src/snipecart/control/raft/election.py
@@ -7,6 +7,7 @@
 from ...core.ids import NodeId
 from ...core.ids import Term
 from ...core.ids import UnixMillis
+from ...core.states import DiskState
 from ...core.states import Role
 from ...messages.commands import Noop
 from ...messages.raft import DiskBatch
@@ -14,6 +15,7 @@
 from ...messages.raft import VoteRequest
 from . import timing
 from .state import HANDLERS
+from .state import DiskStateChanged
 from .state import Effect
 from .state import Flush
 from .state import Persist
@@ -44,6 +46,17 @@
     return effects
 
 
+@HANDLERS.register(DiskStateChanged)
+def handle_disk_state(
+    state: RaftState, change: DiskStateChanged, now: Instant
+) -> list[Effect]:
+    """Stop leading while nothing can be stored; a voter that can takes over."""
+    state.disk = change.disk
+    if change.disk is DiskState.WRITABLE or state.role is Role.FOLLOWER:
+        return []
+    return become_follower(state, state.term, NodeId(""), now)
+
+
 def persist_vote(state: RaftState) -> Persist:
     """Return the effect that persists the current term and vote."""
     return Persist(DiskBatch(state.term, state.voted_for, LogIndex(0), ()))
@@ -56,7 +69,7 @@
     not depose a working leader.
     """
     state.reset_election_timer(now)
-    if state.node_id not in state.voter_ids:
+    if state.node_id not in state.voter_ids or state.disk is DiskState.BLOCKED:
         return []
     state.role = Role.CANDIDATE
     state.leader = NodeId("")
@@ -107,8 +120,11 @@
 ) -> list[Effect]:
     """Grant a vote to a candidate whose log is at least as up to date.
 
-    Requests are rejected while the current leader is alive.
+    Requests are rejected while the current leader is alive, and ignored while the vote
+    could not be stored.
     """
+    if state.disk is DiskState.BLOCKED:
+        return []
     if _is_leader_alive(state, now):
         return [Send(req.candidate, _make_vote_answer(state, req, granted=False))]
     if req.pre_vote:
--- a/src/snipecart/control/raft/replication.py
+++ b/src/snipecart/control/raft/replication.py
@@ -5,6 +5,7 @@
 from ...core.ids import Instant
 from ...core.ids import LogIndex
 from ...core.ids import NodeId
+from ...core.states import DiskState
 from ...core.states import Role
 from ...messages.commands import ChangeVoters
 from ...messages.commands import Entry
@@ -169,13 +170,16 @@
     """Append the leader's entries and answer once they are durable.
 
     A request whose previous entry is not in the log is rejected with the index after
-    which the leader should continue.
+    which the leader should continue. While the disk is blocked, the entries are left to
+    later requests, so that they don't pile up in memory.
     """
     if req.term < state.term:
         return [
             Send(req.leader, _make_append_answer(state, req.sent, False, state.commit))
         ]
     effects = _accept_leader(state, req.term, req.leader, now)
+    if state.disk is DiskState.BLOCKED:
+        return effects
     previous = req.previous_index
     if previous > state.log.last_index:
         hint = LogIndex(state.log.last_index)
@@ -356,6 +360,8 @@
             Send(req.leader, _make_append_answer(state, req.sent, False, state.commit))
         ]
     effects = _accept_leader(state, req.term, req.leader, now)
+    if state.disk is DiskState.BLOCKED:
+        return effects
     if req.index <= state.commit:
         answer = _make_append_answer(state, req.sent, True, state.commit)
         return [*effects, SendAfterSync(req.leader, answer)]
--- a/src/snipecart/control/raft/state.py
+++ b/src/snipecart/control/raft/state.py
@@ -14,6 +14,7 @@
 from ...core.ids import Term
 from ...core.ids import UnixMillis
 from ...core.registry import Registry
+from ...core.states import DiskState
 from ...core.states import Role
 from . import timing
 from .log import Log
@@ -57,6 +58,13 @@
     index_term: int
 
 
+@dataclass(frozen=True)
+class DiskStateChanged:
+    """Report that the data folder can't be written, or can be written again."""
+
+    disk: DiskState
+
+
 @dataclass(frozen=True)
 class Compact:
     """Replace the log up to an applied index by a snapshot of the applied state."""
@@ -174,6 +182,8 @@
     """Index of the last entry known to be committed."""
     synced_index: LogIndex = LogIndex(0)
     """Index of the last entry that is durable on this process's disk."""
+    disk: DiskState = DiskState.WRITABLE
+    """While it is blocked, this process neither leads, votes nor takes entries."""
     role: Role = Role.FOLLOWER
     leader: NodeId = NodeId("")
     """Leader of the current term; empty if unknown."""
--- a/src/snipecart/control/requests.py
+++ b/src/snipecart/control/requests.py
@@ -33,6 +33,7 @@
     from ..core.ids import Instant
     from ..core.ids import NodeId
     from ..core.ids import RoutingVersion
+    from ..core.states import DiskState
     from ..core.states import Role
     from ..messages.commands import Node
     from ..wire.links import IncomingMessage
@@ -85,6 +86,7 @@
     members: tuple[Any, ...]
     endpoints: tuple[Any, ...]
     claims: int
+    disk: DiskState
 
 
 def make_refusal(failure: Failure) -> Refused:
@@ -192,6 +194,7 @@
         tuple(members),
         tuple(item.announcement for item in endpoints),
         len(node.machine.claims),
+        state.disk,
     )
 
 
--- a/src/snipecart/core/events.py
+++ b/src/snipecart/core/events.py
@@ -69,6 +69,12 @@
 LOG_CORRUPT = register_event(
     2007, logbook.CRITICAL, "log corrupt before its end, or snapshot corrupt"
 )
+DISK_BLOCKED = register_event(
+    2008, logbook.ERROR, "data folder can't be written, nothing is acknowledged"
+)
+DISK_RECOVERED = register_event(
+    2009, logbook.NOTICE, "data folder can be written again"
+)
 TEXT_ACCEPTED = register_event(2101, logbook.NOTICE, "configuration accepted")
 TEXT_IN_FORCE = register_event(3001, logbook.NOTICE, "configuration in force")
 CONTROL_CUT_OFF = register_event(
--- a/src/snipecart/core/states.py
+++ b/src/snipecart/core/states.py
@@ -31,6 +31,13 @@
     LEADER = "leader"
 
 
+class DiskState(StrEnum):
+    """List whether a control process can write to its data folder."""
+
+    WRITABLE = "writable"
+    BLOCKED = "blocked"
+
+
 class ClaimState(StrEnum):
     """List the states of the claim of a request key."""
 
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -11,6 +11,7 @@
 
 from snipecart.control import raft
 from snipecart.control.disk.store import RecoveredState
+from snipecart.control.disk.task import RETRY_INTERVAL
 from snipecart.control.factory import restore_raft_state
 from snipecart.control.machine.state import MachineState
 from snipecart.control.machine.state import apply_entry
@@ -18,6 +19,7 @@
 from snipecart.control.machine.state import load_state
 from snipecart.control.raft.state import Apply
 from snipecart.control.raft.state import Compact
+from snipecart.control.raft.state import DiskStateChanged
 from snipecart.control.raft.state import Flush
 from snipecart.control.raft.state import Persist
 from snipecart.control.raft.state import PersistSnapshot
@@ -35,6 +37,7 @@
 from snipecart.core.ids import Term
 from snipecart.core.ids import UnixMillis
 from snipecart.core.states import ClaimVerdict
+from snipecart.core.states import DiskState
 from snipecart.core.states import Role
 from snipecart.core.states import SubmitVerdict
 from snipecart.messages.commands import ChangeVoters
@@ -66,6 +69,8 @@
     node: NodeId
     synced: list[Any] = field(default_factory=list)
     pending: list[Any] = field(default_factory=list)
+    full: bool = False
+    """Whether it refuses every write."""
 
     def recover(self) -> RecoveredState:
         recovered = RecoveredState(self.node)
@@ -100,6 +105,8 @@
     machine: MachineState = field(default_factory=MachineState)
     frozen_until: float = 0.0
     sync_scheduled: bool = False
+    blocked: bool = False
+    """Whether a write failed and has not succeeded since."""
     inbox: list[Any] = field(default_factory=list)
     pending_proposals: dict[int, Any] = field(default_factory=dict)
     applied: int = 0
@@ -157,7 +164,7 @@
         process.machine = load_state(snapshot.state) if snapshot else MachineState()
         process.applied = state.commit
         process.inbox, process.pending_proposals, process.sync_scheduled = [], {}, False
-        process.disk.pending = []
+        process.disk.pending, process.blocked = [], False
         self.after(TICK_INTERVAL, self.tick, vm, state)
 
     def crash(self, vm: str) -> None:
@@ -248,7 +255,13 @@
         if process.state is not state:
             return
         process.sync_scheduled = False
+        if process.disk.full:
+            self.fail_sync(process)
+            return
         pending, process.disk.pending = process.disk.pending, []
+        if process.blocked:
+            process.blocked = False
+            self.deliver(vm, state.node_id, DiskStateChanged(DiskState.WRITABLE))
         completion = None
         for effect in pending:
             if isinstance(effect, SendAfterSync):
@@ -267,6 +280,20 @@
         if completion is not None:
             self.deliver(vm, state.node_id, completion)
 
+    def fail_sync(self, process: Process) -> None:
+        """Keep the writes for another attempt, and drop the messages that waited."""
+        process.disk.pending = [
+            effect
+            for effect in process.disk.pending
+            if not isinstance(effect, SendAfterSync)
+        ]
+        process.sync_scheduled = True
+        self.after(RETRY_INTERVAL, self.sync, process.vm, process.state)
+        if not process.blocked:
+            process.blocked = True
+            blocked = DiskStateChanged(DiskState.BLOCKED)
+            self.deliver(process.vm, process.state.node_id, blocked)
+
     def send(self, source: str, target: str, message: Any) -> None:
         """Send over a network that loses, delays, reorders and repeats messages."""
         if target not in self.processes or self.rng.random() < self.loss:
@@ -385,7 +412,7 @@
         """End all faults and start the crashed processes."""
         self.cut_links, self.loss, self.slow = set(), 0.0, 0.0
         for vm, process in self.processes.items():
-            process.frozen_until = 0.0
+            process.frozen_until, process.disk.full = 0.0, False
             if process.state is None:
                 self.start(vm)
 
--- a/tests/control/schedules.py
+++ b/tests/control/schedules.py
@@ -34,10 +34,18 @@
     "wait",
 )
 
+DISK_ACTIONS = (*ACTIONS, "fill_disk", "fill_disk", "free_disk")
+
 SCHEDULES = st.lists(
     st.tuples(st.sampled_from(ACTIONS), st.integers(0, 11)), min_size=4, max_size=24
 )
 
+DISK_SCHEDULES = st.lists(
+    st.tuples(st.sampled_from(DISK_ACTIONS), st.integers(0, 11)),
+    min_size=4,
+    max_size=24,
+)
+
 
 def make_claim(number: int, attempt: int) -> ClaimKey:
     """Return a claim of a key by an attempt."""
@@ -91,6 +99,10 @@
         cluster.start(vm)
     elif action == "lose_disk":
         _lose_disk(cluster, vm)
+    elif action == "fill_disk":
+        process.disk.full = True
+    elif action == "free_disk":
+        process.disk.full = False
     elif action == "freeze":
         process.frozen_until = cluster.now + 0.5
     elif action == "freeze_long":
