Smooth the slowdown that backend servers report, and prefer faster machines

Cause: load reports may state how long work takes on a server's machine now. It was read and not used, so requests went to their most preferred server however slow its machine was, and waits in its queue were underestimated.

Change: a registry of estimates; the average scales the expected wait and the expected time of a request. A preferred server that is over 1.5 times as slow as usual is compared with others that are warm for the object, instead of being taken at once.

--- a/src/snipecart/gateway/balancing/outcome.py
+++ b/src/snipecart/gateway/balancing/outcome.py
@@ -10,6 +10,7 @@
 from ...core.states import SendOutcome
 from .budget import RetryBudget
 from .server import SLOW_RATIO
+from .slowdown import SLOWDOWN_RULES
 
 if TYPE_CHECKING:
     from ...core.ids import ServiceName
@@ -68,7 +69,8 @@
     if sent.end is SendOutcome.ANSWERED:
         server.record_warm_object(routed.object_key)
     if sent.load_report is not None:
-        server.record_load(sent.load_report, now)
+        estimate = SLOWDOWN_RULES.get(state.slowdown_rule)
+        server.record_load(sent.load_report, estimate, now)
     if sent.end is SendOutcome.MISDIRECTED:
         server.ejected_until = Instant(now + MISDIRECTED_EJECTION)
     if server.is_ejected(now) and not was_ejected:
--- a/src/snipecart/gateway/balancing/selection.py
+++ b/src/snipecart/gateway/balancing/selection.py
@@ -53,6 +53,9 @@
 """Fraction of servers that must be sound for the failing ones to be excluded."""
 
 
+COMPARED_SLOWDOWN = 1.5
+"""Slowdown above which the most preferred server is compared with others."""
+
 SelectionPolicy = Callable[
     ["BalancerState", "RoutedRequest", ServiceName, list[Server], "Instant"],
     Result[Destination, Failure],
@@ -116,8 +119,8 @@
     unwarmed_cost = max(0.0, state.p90_times.get(routed.route.name, usual) - usual)
 
     def cost(item: Server) -> float:
-        wait = item.expected_wait(usual, now)
-        return wait if item in warm else wait + unwarmed_cost
+        time = usual if item in warm else usual + unwarmed_cost
+        return item.expected_wait(usual, now) + time * item.slowdown
 
     may_spread = _utilisation(usable, now) < SPREAD_THRESHOLD
     for item in sorted(usable if may_spread else warm, key=cost):
@@ -165,6 +168,7 @@
         if name in tried or not _may_serve(state, server, routed.route):
             continue
         free = server.load(now) < server.slots and server.is_sound(now)
+        free = free and server.slowdown < COMPARED_SLOWDOWN
         return server if free and _acquire_token(state, server, service, now) else None
     return None
 
--- a/src/snipecart/gateway/balancing/server.py
+++ b/src/snipecart/gateway/balancing/server.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from ...messages.discovery import Instance
     from ..load_report import LoadReport
+    from .slowdown import SlowdownRule
 
 LOAD_REPORT_MAX_AGE = 1.5
 """Seconds until the weight of a load report has fallen to zero."""
@@ -102,6 +103,8 @@
     other_load: float = 0.0
     """Requests of other gateways that ran or waited at the last load report."""
     load_reported_at: Instant = Instant(-1e9)
+    slowdown: float = 1.0
+    """Estimated ratio of the time that work takes on its machine to the usual time."""
     failures: int = 0
     """Consecutive failed sends."""
     ejections: int = 0
@@ -157,7 +160,8 @@
 
         ``usual`` is the usual time of the route in seconds.
         """
-        return max(0.0, usual * (self.load(now) - self.slots + 1) / self.slots)
+        time = usual * self.slowdown
+        return max(0.0, time * (self.load(now) - self.slots + 1) / self.slots)
 
     def is_warm_for(self, key: str) -> bool:
         """Return whether it recently answered a request for an object."""
@@ -216,8 +220,12 @@
         """Return whether it recently started or restarted."""
         return now < self.cold_until
 
-    def record_load(self, report: LoadReport, now: Instant) -> None:
+    def record_load(
+        self, report: LoadReport, estimate: SlowdownRule, now: Instant
+    ) -> None:
         """Apply a load report."""
+        elapsed = now - self.load_reported_at
+        self.slowdown = estimate(self.slowdown, report.slowdown, elapsed)
         self.other_load = max(0.0, report.running + report.waiting - self.sending)
         self.load_reported_at = now
 
--- a/src/snipecart/gateway/balancing/state.py
+++ b/src/snipecart/gateway/balancing/state.py
@@ -71,6 +71,8 @@
     """Key of a selection policy."""
     wait_rule: str = "target"
     """Key of an admission rule."""
+    slowdown_rule: str = "smoothed"
+    """Key of an estimate of slowdowns."""
     budget_rule: BudgetRule = BudgetRule()
     index: RouteIndex | None = None
     traffic_splits: TrafficSplits = field(default_factory=TrafficSplits)
--- a/src/snipecart/gateway/sync.py
+++ b/src/snipecart/gateway/sync.py
@@ -187,7 +187,11 @@
             return
         if isinstance(message, InstanceChanged):
             self._balancer.post(message)
-            confirmation = InstanceSeen(self.gateway.gateway, message.instance.instance)
+            confirmation = InstanceSeen(
+                self.gateway.gateway,
+                message.instance.instance,
+                message.instance.sequence,
+            )
             self._peers[vm].link.post(Envelope(0, confirmation))
         elif isinstance(message, RoutingChanged):
             self._fetch_newer_routing(
--- a/tests/gateway/simulation.py
+++ b/tests/gateway/simulation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections import OrderedDict
 from dataclasses import dataclass
 from dataclasses import field
@@ -42,16 +43,49 @@
 NO_SLOWDOWN = Slowdown(0, 1.0, 0.0, 0.0)
 
 
+@dataclass(frozen=True)
+class SharedMachines:
+    """Describe how the time of work varies on machines that servers share.
+
+    Each is the standard deviation of the logarithm of the ratio to the usual time.
+    """
+
+    slow_part: float
+    """Of the part that lasts for SLOW_PART_SECONDS."""
+    fast_part: float
+    """Of the part that changes with each GRID_SECONDS."""
+
+    def paces(self, rng):
+        """Return the ratios at each step of a simulation."""
+        keep = math.exp(-GRID_SECONDS / SLOW_PART_SECONDS)
+        level, ratios = rng.gauss(0.0, self.slow_part), []
+        for _ in range(int(2 * SECONDS / GRID_SECONDS)):
+            level = keep * level + rng.gauss(
+                0.0, self.slow_part * math.sqrt(1 - keep * keep)
+            )
+            ratios.append(math.exp(level + rng.gauss(0.0, self.fast_part)))
+        return ratios
+
+
+GRID_SECONDS, SLOW_PART_SECONDS = 0.05, 4.0
+UNSHARED = SharedMachines(0.0, 0.0)
+
+
 class SimulatedServer:
     """Simulate a server with slots, a bounded queue and an LRU cache of objects."""
 
-    def __init__(self, max_warm, slowdown=NO_SLOWDOWN):
+    def __init__(self, max_warm, slowdown=NO_SLOWDOWN, paces=(1.0,)):
+        self.paces = paces
         self.max_warm = max_warm
         self.free_at = [0.0] * SLOTS
         self.warm_objects = OrderedDict()
         self.ends = []
         self.slowdown = slowdown
 
+    def pace(self, now):
+        """Return how long work takes now, relative to the usual time."""
+        return self.paces[int(now / GRID_SECONDS) % len(self.paces)]
+
     def load(self, now):
         self.ends = [end for end in self.ends if end > now]
         return len(self.ends)
@@ -68,7 +102,7 @@
         work = (WARM if key in self.warm_objects else COLD) * (
             self.slowdown.factor if is_slowed else 1.0
         )
-        end = min(begin + work, now + TIMEOUT)
+        end = min(begin + work * self.pace(begin), now + TIMEOUT)
         heapq.heappush(self.free_at, max(begin, end))
         self.warm_objects[key] = True
         self.warm_objects.move_to_end(key)
@@ -101,6 +135,8 @@
     slowdown: Slowdown = NO_SLOWDOWN
     max_warm: int = MAX_WARM
     seed: int = 7
+    machines: SharedMachines = UNSHARED
+    slowdown_rule: str = "smoothed"
     seconds: dict[int, Tally] = field(default_factory=dict)
 
     def run(self):
@@ -111,13 +147,16 @@
         )
         instances = [make_instance(number, slots=SLOTS) for number in range(SERVERS)]
         gateways = [
-            Gateway(routing, choice=self.choice).add_instances(*instances)
+            Gateway(
+                routing, choice=self.choice, slowdown_rule=self.slowdown_rule
+            ).add_instances(*instances)
             for _ in range(GATEWAYS)
         ]
         servers = {
             item.instance: SimulatedServer(
                 self.max_warm,
                 self.slowdown if number < self.slowdown.servers else NO_SLOWDOWN,
+                self.machines.paces(Random(1000 * self.seed + number)),
             )
             for number, item in enumerate(instances)
         }
@@ -164,7 +203,8 @@
         sent = SendResult(SendOutcome.TIMED_OUT, TIMEOUT)
     else:
         load = servers[destination.instance].load(at)
-        report = LoadReport(min(load, SLOTS), max(0, load - SLOTS), SLOTS)
+        pace = round(servers[destination.instance].pace(at), 2)
+        report = LoadReport(min(load, SLOTS), max(0, load - SLOTS), SLOTS, pace)
         sent = SendResult(
             SendOutcome.ANSWERED, at - started_at, HttpAnswer(200, "", (), b""), report
         )
