Count a gateway's confirmation for the instance and the state that it names

Cause: the confirmation of any instance by a gateway counted for every departure that waited for it, and a confirmation of an earlier heartbeat counted for a later departure. A departure could be acknowledged before the gateway had it, and requests would reach a server that had been told it may go.

Ruled out: matching by instance alone. A gateway confirms the heartbeats before the departure, too.

Change: a confirmation carries the sequence number of what it confirms. One without it, from a gateway of an earlier build, counts for its instance, so that builds can mix.

--- a/src/snipecart/control/discovery/gateways.py
+++ b/src/snipecart/control/discovery/gateways.py
@@ -14,11 +14,13 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from ...core.ids import InstanceId
     from ...core.ids import Instant
     from ...core.ids import MemberId
     from ...core.ids import RegionName
     from ...core.ids import ZoneName
     from ...messages.discovery import Gateway
+    from ...messages.discovery import InstanceSeen
 
 LIVE_TIMEOUT = 1.7
 """Seconds after its last sync request for which a gateway must confirm changes.
@@ -50,10 +52,21 @@
 class UnconfirmedUpdate:
     """Store an update of a leaving instance that some gateways have not confirmed."""
 
+    instance: InstanceId
+    sequence: int
     waiting: set[MemberId]
     deadline: Instant
     reply: Callable[[bool], None]
 
+    def record_confirmation(self, seen: InstanceSeen) -> None:
+        """Stop waiting for a gateway that has confirmed this update or a later one.
+
+        Its confirmation of another instance, or of an earlier state, doesn't count.
+        """
+        is_current = not seen.sequence or seen.sequence >= self.sequence
+        if seen.instance == self.instance and is_current:
+            self.waiting.discard(seen.gateway)
+
 
 @dataclass
 class GatewayTable:
--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -240,8 +240,15 @@
         return
     if not result.changes:
         waiting = task.push_changes([Change(result.received, update.gone)], now)
-    deadline = Instant(now + CONFIRMATION_TIMEOUT)
-    task.unconfirmed.append(UnconfirmedUpdate(set(waiting), deadline, update.reply))
+    task.unconfirmed.append(
+        UnconfirmedUpdate(
+            result.received.instance,
+            result.received.sequence,
+            set(waiting),
+            Instant(now + CONFIRMATION_TIMEOUT),
+            update.reply,
+        )
+    )
 
 
 @HANDLERS.register(InstanceSeen)
@@ -250,7 +257,7 @@
 ) -> None:
     """Remove a gateway from those that updates of leaving instances wait for."""
     for item in task.unconfirmed:
-        item.waiting.discard(req.message.gateway)
+        item.record_confirmation(req.message)
 
 
 @HANDLERS.register(Gossip)
--- a/src/snipecart/messages/discovery.py
+++ b/src/snipecart/messages/discovery.py
@@ -126,6 +126,8 @@
 
     gateway: MemberId
     instance: InstanceId
+    sequence: int
+    """Sequence number of the confirmed change; 0 from gateways that don't state it."""
 
 
 @message
--- a/src/snipecart/wire/schema.capnp
+++ b/src/snipecart/wire/schema.capnp
@@ -99,7 +99,7 @@
   absentAreGone @13 :Bool;
 }
 struct InstanceChanged { instance @0 :Instance; gone @1 :Bool; }
-struct InstanceSeen { gateway @0 :Text; instance @1 :Text; }
+struct InstanceSeen { gateway @0 :Text; instance @1 :Text; sequence @2 :UInt64; }
 struct RoutingChanged { routingVersion @0 :UInt64; evacuationIndex @1 :UInt64; }
 struct Heard { instance @0 :Instance; gone @1 :Bool; }
 struct Gossip { sender @0 :Text; heard @1 :List(Heard); }
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -146,8 +146,8 @@
     def send_update(self, instance, now, *, gone=False):
         self.task.handle([InstanceUpdate(instance, gone, self.replies.append)], now)
 
-    def confirm(self, name, now):
-        confirmation = InstanceSeen(name, FIRST.instance)
+    def confirm(self, name, now, instance=FIRST):
+        confirmation = InstanceSeen(name, instance.instance, instance.sequence)
         self.task.handle([IncomingMessage(confirmation, print)], now)
 
 
@@ -164,6 +164,33 @@
     assert control.replies == [True]
 
 
+def test_a_confirmation_counts_for_its_own_instance_and_state_only():
+    control = TaskDriver()
+    control.receive_gossip(50.0, "c2")
+    control.send_sync("g1", 50.0)
+    control.send_update(FIRST, 50.0)
+    leaving = replace(FIRST, state=EndpointState.LEAVING, sequence=FIRST.sequence + 1)
+    control.send_update(leaving, 50.1)
+    control.confirm("g1", 50.2, make_instance(2))
+    control.confirm("g1", 50.2, FIRST)
+    assert control.replies == [True]
+    control.confirm("g1", 50.3, leaving)
+    assert control.replies == [True, True]
+
+
+def test_a_departure_is_confirmed_by_the_pushed_departure():
+    control = TaskDriver()
+    control.receive_gossip(50.0, "c2")
+    control.send_sync("g1", 50.0)
+    control.send_update(FIRST, 50.0)
+    control.send_update(replace(FIRST, born=0, sequence=0), 50.1, gone=True)
+    pushed = [item for item in control.pushed if isinstance(item, InstanceChanged)]
+    control.confirm("g1", 50.2, FIRST)
+    assert control.replies == [True]
+    control.confirm("g1", 50.3, pushed[-1].instance)
+    assert control.replies == [True, True]
+
+
 def test_leaving_is_not_confirmed_without_every_live_gateway():
     control = TaskDriver()
     control.receive_gossip(50.0, "c2")
