Let control processes start a large fleet without a pass over all servers a message

Cause: each gateway asks all control processes twice a second, and seven times while it starts, but wants changes from one of them only. Nothing was left for the log, so the first routing table was never acknowledged. While a control process settles, each server was also pushed to each gateway, and each push confirmed: 334 confirmations a second at each process.

Ruled out: fewer gateways' requests in all.

Change: changes are collected only for a gateway that wants them and lacks some; the digest is kept for its revision. While it settles, a control process pushes departures only; gateways get the servers by their next request. Gateways confirm departures only, the one kind that waits for it. While it starts, a gateway repeats requests quickly to the process that it follows and not to all. A process that has just started takes heartbeats before it has heard from a majority (not departures), so that servers don't repeat them everywhere; one that has lost its majority refuses them as before.

--- a/src/snipecart/control/discovery/table.py
+++ b/src/snipecart/control/discovery/table.py
@@ -96,6 +96,8 @@
     revision: int = 0
     compacted_revision: int = 0
     """Highest revision of a removed tombstone; older readers need all instances."""
+    _digest: tuple[int, int] = (-1, 0)
+    """Revision for which the digest was computed, and the digest."""
 
     def apply_update(
         self, received: Instance, gone: bool, now: Instant
@@ -151,7 +153,10 @@
 
     def digest(self) -> int:
         """Return the digest of all live instances."""
-        return digest_instances(item.instance for item in self.live.values())
+        if self._digest[0] != self.revision:
+            instances = (item.instance for item in self.live.values())
+            self._digest = (self.revision, digest_instances(instances))
+        return self._digest[1]
 
     def changes_since(self, revision: int, now: Instant) -> Iterator[Change]:
         """Yield the changes that a reader at a revision lacks."""
--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -120,6 +120,9 @@
         self._expire_due = Instant(0.0)
         self._last_run_at = self.started_at
         self._had_contact = False
+        """Whether a majority was in contact at the last removal of silent instances."""
+        self._reached_majority = False
+        """Whether a majority has been in contact since the start."""
 
     def next_wait(self, now: Instant) -> float:
         """Return the seconds until gossip, expiry or a confirmation timeout is due."""
@@ -130,6 +133,7 @@
     def handle(self, batch: list[Any], now: Instant) -> None:
         """Handle messages, then expire instances and send gossip if they are due."""
         self._detect_pause(now)
+        self._reached_majority = self._reached_majority or self.in_contact(now)
         for message in batch:
             inner = message.message if isinstance(message, IncomingMessage) else message
             if type(inner) in HANDLERS:
@@ -153,6 +157,22 @@
         voters = {node.vm for node in self.committed_state.voters}
         return len(voters & (self.peers_in_contact(now) | {self.vm})) > len(voters) / 2
 
+    def is_settled(self, now: Instant) -> bool:
+        """Return whether each server has had time to send a heartbeat since start."""
+        return now > self.started_at + self.settle_seconds
+
+    def accepts_updates(self, leaving: bool, now: Instant) -> bool:
+        """Return whether this process may acknowledge an update of an instance.
+
+        Without contact to a majority it may be isolated, and the server should turn to
+        another process. Just after its start it only has not heard from the others yet:
+        it takes heartbeats, which servers would repeat everywhere, but confirms no
+        departure.
+        """
+        if self.in_contact(now):
+            return True
+        return not (leaving or self._reached_majority or self.is_settled(now))
+
     def push_changes(self, changes: list[Change], now: Instant) -> list[MemberId]:
         """Push changes to all live gateways and return their ids."""
         live = self.gateways.live(now)
@@ -224,7 +244,8 @@
     The update of a leaving instance is confirmed once every live gateway has
     confirmed it.
     """
-    if not task.in_contact(now):
+    leaving = is_leaving(Change(update.instance, update.gone))
+    if not task.accepts_updates(leaving, now):
         emit(HEARTBEAT_UNCONFIRMED, instance=update.instance.instance, waiting="quorum")
         update.reply(False)
         return
@@ -233,8 +254,7 @@
         emit(HEARTBEAT_STALE, instance=update.instance.instance)
     else:
         task.gossip_updates.append(Heard(update.instance, update.gone))
-    waiting = task.push_changes(list(result.changes), now)
-    leaving = is_leaving(Change(update.instance, update.gone))
+    waiting = task.push_changes(_urgent_changes(task, result.changes, now), now)
     if not leaving or result.verdict is UpdateVerdict.STALE:
         update.reply(True)
         return
@@ -251,6 +271,19 @@
     )
 
 
+def _urgent_changes(
+    task: DiscoveryTask, changes: tuple[Change, ...], now: Instant
+) -> list[Change]:
+    """Return the changes to push at once; gateways request the others.
+
+    While this process settles, all servers are new to it. Pushing each of them to each
+    gateway would cost more than the gateways' next requests, which get them together.
+    """
+    if task.is_settled(now):
+        return list(changes)
+    return [change for change in changes if is_leaving(change)]
+
+
 @HANDLERS.register(InstanceSeen)
 def handle_confirmation(
     task: DiscoveryTask, req: IncomingMessage, now: Instant
@@ -299,12 +332,12 @@
     if up_to_date and sync.digest != task.instances.digest():
         emit(GATEWAY_OUT_OF_SYNC, gateway=sync.gateway.gateway)
         incremental = False
-    since = sync.revision if incremental else 0
-    changes = list(task.instances.changes_since(since, now))
-    if not sync.wants_changes:
-        changes = []
+    changes: list[Change] = []
+    if sync.wants_changes and not (up_to_date and incremental):
+        since = sync.revision if incremental else 0
+        changes = list(task.instances.changes_since(since, now))
     in_contact = task.in_contact(now)
-    ready = in_contact and now > task.started_at + task.settle_seconds
+    ready = in_contact and task.is_settled(now)
     req.reply(
         SyncAnswer(
             task.run_id,
--- a/src/snipecart/gateway/sync.py
+++ b/src/snipecart/gateway/sync.py
@@ -15,6 +15,7 @@
 from ..core.ids import LogIndex
 from ..core.ids import RoutingVersion
 from ..core.ids import VmName
+from ..core.states import EndpointState
 from ..core.states import MemberState
 from ..core.task import Task
 from ..messages.discovery import InstanceChanged
@@ -29,6 +30,7 @@
 if TYPE_CHECKING:
     from ..messages.commands import Node
     from ..messages.discovery import Gateway
+    from ..messages.discovery import Instance
     from ..program.settings import ControlPeer
     from .balancing.task import BalancerTask
 
@@ -39,7 +41,7 @@
 """Time without an answer after which a control process is no longer followed."""
 
 STARTUP_SYNC_INTERVAL_SECONDS = 0.15
-"""Time between two requests while this gateway is not ready."""
+"""Time between two requests to the followed process while this gateway isn't ready."""
 
 READY_TIMEOUT_SECONDS = 1.0
 """Time after the first answer at which an incomplete list of servers is accepted.
@@ -123,6 +125,7 @@
         self._next_fetch_at = Instant(0.0)
         self._first_answered_at: Instant | None = None
         self._next_sync_at = Instant(0.0)
+        self._next_startup_sync_at = Instant(0.0)
 
     @property
     def ready(self) -> bool:
@@ -156,9 +159,14 @@
             peer.link.stop(0.5)
 
     def next_wait(self, now: Instant) -> float:
-        """Return the seconds until the next round of requests."""
+        """Return the seconds until the next request."""
+        if self._is_starting():
+            return min(self._next_sync_at, self._next_startup_sync_at) - now
         return self._next_sync_at - now
 
+    def _is_starting(self) -> bool:
+        return not (self.ready or self.leaving)
+
     def handle(self, batch: list[Any], now: Instant) -> None:
         """Handle messages, and send a request to all control processes when due."""
         for message in batch:
@@ -172,14 +180,16 @@
                 self._handle_peer_message(message, now)
         self.complete = self.complete or self._list_is_complete(now)
         if now >= self._next_sync_at:
-            starting = not (self.ready or self.leaving)
-            self._next_sync_at = Instant(
-                now
-                + (STARTUP_SYNC_INTERVAL_SECONDS if starting else SYNC_INTERVAL_SECONDS)
-            )
+            self._next_sync_at = Instant(now + SYNC_INTERVAL_SECONDS)
             self._select_followed(now)
             for vm in self._peers:
                 self._send_sync_request(vm)
+            self._next_startup_sync_at = Instant(now + STARTUP_SYNC_INTERVAL_SECONDS)
+        elif self._is_starting() and now >= self._next_startup_sync_at:
+            self._next_startup_sync_at = Instant(now + STARTUP_SYNC_INTERVAL_SECONDS)
+            self._select_followed(now)
+            if self._followed:
+                self._send_sync_request(self._followed)
 
     def _handle_peer_message(self, received: PeerMessage, now: Instant) -> None:
         message, vm = received.message, received.vm
@@ -187,12 +197,8 @@
             return
         if isinstance(message, InstanceChanged):
             self._balancer.post(message)
-            confirmation = InstanceSeen(
-                self.gateway.gateway,
-                message.instance.instance,
-                message.instance.sequence,
-            )
-            self._peers[vm].link.post(Envelope(0, confirmation))
+            if message.gone or message.instance.state is EndpointState.LEAVING:
+                self._confirm(vm, message.instance)
         elif isinstance(message, RoutingChanged):
             self._fetch_newer_routing(
                 vm, message.routing_version, message.evacuation_index, now
@@ -200,6 +206,13 @@
         elif isinstance(message, SyncAnswer):
             self._handle_answer(vm, message, now)
 
+    def _confirm(self, vm: VmName, instance: Instance) -> None:
+        """Confirm that this gateway has a leaving instance's change."""
+        confirmation = InstanceSeen(
+            self.gateway.gateway, instance.instance, instance.sequence
+        )
+        self._peers[vm].link.post(Envelope(0, confirmation))
+
     def _handle_answer(self, vm: VmName, answer: SyncAnswer, now: Instant) -> None:
         """Pass an answer to the balancer, and update the links and the sync state.
 
--- /dev/null
+++ b/tests/control/fleet_simulation.py
@@ -0,0 +1,181 @@
+"""Simulate the start of a fleet: control processes, gateways and backend servers.
+
+The tasks are the real ones, driven by a virtual clock; messages take a fixed time and
+are counted by type and receiver.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from itertools import count
+from time import process_time
+
+from snipecart.control.discovery.task import CommittedState
+from snipecart.control.discovery.task import DiscoveryTask
+from snipecart.control.discovery.task import InstanceUpdate
+from snipecart.core.ids import Instant
+from snipecart.core.states import MemberState
+from snipecart.gateway import sync as sync_module
+from snipecart.gateway.balancing.state import BalancerState
+from snipecart.gateway.balancing.state import Locality
+from snipecart.gateway.balancing.task import BalancerTask
+from snipecart.gateway.sync import SyncTask
+from snipecart.messages.commands import Node
+from snipecart.messages.discovery import Gateway
+from snipecart.program.settings import ControlPeer
+from snipecart.text.routing import dump_routing
+from snipecart.wire.links import IncomingMessage
+from tests.gateway.world import make_instance
+from tests.gateway.world import make_route
+from tests.gateway.world import make_routing
+
+LATENCY = 0.005
+"""Seconds that a message takes."""
+
+START = 100.0
+HEARTBEAT_INTERVAL = 1.5
+HEARTBEAT_TIMEOUT = 1.0
+"""Seconds after which a server sends its heartbeat to the next control process."""
+
+STEP = 0.02
+"""Seconds between two wake-ups of a task that has no messages."""
+
+
+class SimulatedLink:
+    """Deliver the messages of a gateway to a control process of the simulation."""
+
+    fleet = None
+
+    def __init__(self, name, host, port, source, sink):
+        self.name, self.sink = name, sink
+
+    def start(self):
+        """Do nothing."""
+
+    def stop(self, grace):
+        """Do nothing."""
+
+    def post(self, envelope):
+        """Send a message, and pass the answers back."""
+        self.fleet.send_to_control(self.name, envelope.message, self.answer)
+
+    def answer(self, message):
+        """Return an answer to the gateway."""
+        self.fleet.send_to_gateway(self.sink, message)
+
+
+class FleetSimulation:
+    """Run a fleet from empty tables and count its messages."""
+
+    def __init__(self, monkeypatch, controls, gateways, servers):
+        self.now, self._sequence, self._queue = START, count(), []
+        self.received = {"control": Counter(), "gateway": Counter()}
+        self.cpu = {"control": 0.0, "gateway": 0.0}
+        """Processor seconds of all processes of a role."""
+        self.refused_heartbeats = 0
+        monkeypatch.setattr(sync_module, "Link", SimulatedLink)
+        SimulatedLink.fleet = self
+        self.control = {
+            f"c{at}": self._make_control(f"c{at}") for at in range(controls)
+        }
+        nodes = tuple(Node(f"{vm}/1", vm, vm, 1) for vm in self.control)
+        routing = dump_routing(make_routing(make_route()))
+        committed = CommittedState(1, routing, 0, (), nodes, nodes, 1)
+        for task in self.control.values():
+            task.handle([committed], Instant(self.now))
+        seeds = tuple(
+            ControlPeer(vm=vm, host=vm, port=1, http_port=2) for vm in self.control
+        )
+        self.gateways = [self._make_gateway(at, seeds) for at in range(gateways)]
+        for task in (*self.control.values(), *self.gateways):
+            self.after(0.0, self._wake, task)
+        for number in range(servers):
+            delay = HEARTBEAT_INTERVAL * number / servers
+            self.after(delay, self._send_heartbeat, number, 1, number)
+
+    def _make_control(self, vm):
+        task = DiscoveryTask(vm, lambda message: self._gossip(vm, message), 1.5)
+        task.started_at = task._last_run_at = Instant(self.now)
+        return task
+
+    def _make_gateway(self, at, seeds):
+        state = BalancerState(Locality("north", "north-a", ("north", "south")))
+        balancer = BalancerTask(state, lambda endpoints: None)
+        balancer.post = lambda message: balancer.handle([message], Instant(self.now))
+        gateway = Gateway(
+            f"g{at}", f"vm{at}", "north", "north-a", f"g{at}:1", MemberState.STARTING
+        )
+        task = SyncTask(gateway, seeds, "h", balancer)
+        task.post = lambda message: self._deliver("gateway", task, message)
+        task._update_links(())
+        return task
+
+    def after(self, seconds, callback, *args):
+        """Schedule a call."""
+        item = (self.now + seconds, next(self._sequence), callback, args)
+        heapq.heappush(self._queue, item)
+
+    def run(self, seconds):
+        """Run the scheduled calls of the next seconds."""
+        until = self.now + seconds
+        while self._queue[0][0] <= until:
+            self.now, _, callback, args = heapq.heappop(self._queue)
+            callback(*args)
+        self.now = until
+
+    def send_to_control(self, vm, message, reply):
+        """Deliver a message to a control process."""
+        received = IncomingMessage(message, reply)
+        self.after(LATENCY, self._deliver, "control", self.control[vm], received)
+
+    def send_to_gateway(self, sink, message):
+        """Deliver a message to a gateway."""
+        self.after(LATENCY, sink, type("E", (), {"message": message}))
+
+    def _gossip(self, sender, message):
+        for vm in self.control:
+            if vm != sender:
+                self.send_to_control(vm, message, lambda answer: None)
+
+    def _deliver(self, role, task, message):
+        inner = getattr(message, "message", message)
+        self.received[role][type(inner).__name__] += 1
+        begin = process_time()
+        task.handle([message], Instant(self.now))
+        self.cpu[role] += process_time() - begin
+
+    def _wake(self, task):
+        role = "control" if isinstance(task, DiscoveryTask) else "gateway"
+        begin = process_time()
+        task.handle([], Instant(self.now))
+        self.cpu[role] += process_time() - begin
+        wait = task.next_wait(Instant(self.now))
+        self.after(max(STEP, wait), self._wake, task)
+
+    def _send_heartbeat(self, number, sequence, target):
+        """Send a heartbeat; where it is refused, try the next control process."""
+        vms = list(self.control)
+        instance = make_instance(number, sequence=sequence)
+        replies = []
+        update = InstanceUpdate(instance, False, replies.append)
+        self._deliver("control", self.control[vms[target % len(vms)]], update)
+        if replies == [False]:
+            self.refused_heartbeats += 1
+            self.after(0.1, self._send_heartbeat, number, sequence + 1, target + 1)
+            return
+        self.after(
+            HEARTBEAT_INTERVAL, self._send_heartbeat, number, sequence + 1, target
+        )
+
+    def ready_gateways(self):
+        """Return how many gateways are ready."""
+        return sum(task.ready for task in self.gateways)
+
+    def per_second(self, role, seconds):
+        """Return the messages that one process of a role receives in a second."""
+        size = len(self.control if role == "control" else self.gateways)
+        return {
+            name: round(number / size / seconds, 1)
+            for name, number in self.received[role].items()
+        }
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -122,8 +122,9 @@
 class TaskDriver:
     """Pass messages to one discovery task, without its thread."""
 
-    def __init__(self):
+    def __init__(self, started_at=40.0):
         self.task = DiscoveryTask("c1", lambda message: None, 1.5)
+        self.task.started_at = started_at
         nodes = tuple(Node(f"{vm}/founder", vm, vm, 1) for vm in ("c1", "c2", "c3"))
         self.task.handle([CommittedState(voters=nodes)], 50.0)
         self.replies = []
@@ -233,6 +234,36 @@
     assert control.replies == [True, False]
 
 
+def test_a_process_that_has_just_started_takes_heartbeats_but_no_departures():
+    control = TaskDriver(started_at=50.0)
+    control.send_update(FIRST, 50.1)
+    leaving = replace(FIRST, state=EndpointState.LEAVING, sequence=FIRST.sequence + 1)
+    control.send_update(leaving, 50.2)
+    assert control.replies == [True, False]
+    for now in (51.0, 51.9, 52.5):
+        control.task.handle([], now)
+    control.send_update(make_instance(2), 52.6)
+    assert control.replies == [True, False, False]
+
+
+def test_servers_are_pushed_only_once_the_process_has_settled():
+    control = TaskDriver(started_at=50.0)
+    control.receive_gossip(50.0, "c2")
+    control.send_sync("g1", 50.0)
+    control.send_update(FIRST, 50.1)
+    assert not [item for item in control.pushed if isinstance(item, InstanceChanged)]
+    answer = control.send_sync_answer("g1", 50.2)
+    assert [item.instance for item in answer.instances] == [FIRST.instance]
+    leaving = replace(FIRST, state=EndpointState.LEAVING, sequence=FIRST.sequence + 1)
+    control.send_update(leaving, 50.3)
+    assert [type(item) for item in control.pushed[2:]] == [InstanceChanged]
+    for now in (50.9, 51.8, 52.6):
+        control.receive_gossip(now, "c2")
+    control.send_sync("g1", 52.6)
+    control.send_update(make_instance(2), 52.7)
+    assert type(control.pushed[-1]) is InstanceChanged
+
+
 def test_a_process_expires_no_instances_after_a_suspension():
     control = TaskDriver()
     control.receive_gossip(50.0, "c2")
@@ -297,8 +328,8 @@
 
 
 def test_absent_servers_are_gone_only_after_the_silence_timeout_in_contact():
-    control = TaskDriver()
-    start = control.task.started_at = 50.0
+    start = 50.0
+    control = TaskDriver(start)
     answers = {}
     for step in range(1, 20):
         seconds = step / 2
