Start HTTP threads with the load, and count the connections that a drain waits for

Cause: a gateway started 160 HTTP threads and a control process 23, and kept them. A fleet of 89 VMs held some 20,000 threads at rest. A drain read the pool's state: a connection that a thread had taken from the queue but not begun to handle counted as none, so a planned stop could end while a request had just been accepted.

Ruled out: cheroot's own `grow` and `shrink`. Nothing calls them, and `grow` sleeps in tenths of a second until a thread is ready, which would block the accepting thread.

Change: a pool that starts a thread when every thread has a connection, up to the configured number, and lets a thread end after 10 s without one, down to two. It counts the connections in progress from when they are queued until their thread asks for the next one; a drain waits for that count.

--- a/src/snipecart/gateway/factory.py
+++ b/src/snipecart/gateway/factory.py
@@ -126,7 +126,6 @@
     started_at = monotonic()
     pause = threading.Event()
     while monotonic() < started_at + timeout:
-        pool = server.requests
-        if pool.idle >= pool.min and not pool.qsize:
+        if not server.requests.in_progress:
             return
         pause.wait(DRAIN_POLL_SECONDS)
--- a/src/snipecart/program/http.py
+++ b/src/snipecart/program/http.py
@@ -13,6 +13,7 @@
 
 from ..core.events import SERVER_ERROR
 from ..core.events import emit
+from .threads import ElasticThreadPool
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -38,24 +39,21 @@
 
 def make_http_server(listener: HttpListener, gateway: type[Any]) -> HTTPServer:
     """Return a server that passes each request to a subclass of cheroot's gateway."""
-    server = HTTPServer(
-        (listener.host, listener.port), gateway, minthreads=listener.threads
-    )
-    _configure(server)
+    server = HTTPServer((listener.host, listener.port), gateway)
+    _configure(server, listener)
     return server
 
 
 def make_wsgi_server(listener: HttpListener, app: WsgiApp) -> WsgiServer:
     """Return a server of a WSGI application."""
-    server = WsgiServer(
-        (listener.host, listener.port), app, numthreads=listener.threads
-    )
+    server = WsgiServer((listener.host, listener.port), app)
     server.gateway = Gateway_10
-    _configure(server)
+    _configure(server, listener)
     return server
 
 
-def _configure(server: HTTPServer) -> None:
+def _configure(server: HTTPServer, listener: HttpListener) -> None:
+    server.requests = ElasticThreadPool(server, listener.threads)
     server.request_queue_size = ACCEPT_BACKLOG
     server.timeout = IDLE_TIMEOUT
     server.expiration_interval = EXPIRATION_INTERVAL
--- a/src/snipecart/program/listener.py
+++ b/src/snipecart/program/listener.py
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True)
 class HttpListener:
-    """Store an address to listen at and the number of threads that serve it."""
+    """Store an address to listen at and the most threads that serve it."""
 
     host: str
     port: int
