Let a restarted control process use what it knows to be committed

The entries after it, the routing table and evacuations among them, were applied only once a leader had been elected and had committed an entry of its own term. Gateways that started meanwhile got no routing table: after a power loss of all machines, 2,102 requests ended with `no_routing` within 1.3 s.

Ruled out: applying the whole log. Its last entries may not be committed, and another leader may replace them.

Change: each batch for the disk carries the commit index, and one that is only newer is written at most each 0.2 s, without a wait for its sync. A restarted process applies the entries up to it at once. It still reads and acknowledges nothing without a leader that a quorum confirms, so a lost batch costs time only.

The requests that this saves after a power loss were not counted again.

--- a/src/snipecart/control/disk/store.py
+++ b/src/snipecart/control/disk/store.py
@@ -62,6 +62,8 @@
     voted_for: NodeId = NodeId("")
     snapshot: DiskSnapshot | None = None
     entries: list[Entry] = field(default_factory=list)
+    commit: LogIndex = LogIndex(0)
+    """Index up to which entries are known to be committed."""
 
 
 @contextmanager
@@ -147,6 +149,7 @@
             entry for entry in recovered.entries if entry.index < batch.cut_from
         ]
     recovered.entries += batch.entries
+    recovered.commit = max(recovered.commit, batch.commit)
 
 
 class Store:
--- a/src/snipecart/control/factory.py
+++ b/src/snipecart/control/factory.py
@@ -14,6 +14,7 @@
 from expression import Ok
 from expression import Result
 
+from ..core.ids import LogIndex
 from ..core.ids import NodeId
 from ..core.ids import VmName
 from ..core.task import monotonic
@@ -33,6 +34,7 @@
 from .disk.store import recover
 from .disk.task import DiskTask
 from .machine.state import MachineState
+from .machine.state import apply_entry
 from .machine.state import load_state
 from .node import ALL_NODES
 from .node import NodeOutputs
@@ -74,10 +76,24 @@
         if snapshot is None or entry.index > snapshot.index:
             state.memberships += extract_memberships(entry)
     state.synced_index = state.log.last_index
+    known = min(recovered.commit, state.log.last_index)
+    state.commit = state.persisted_commit = LogIndex(max(state.commit, known))
     state.reset_election_timer(now)
     return state
 
 
+def restore_machine(state: RaftState) -> MachineState:
+    """Return the replicated state as of the last entry known to be committed."""
+    snapshot = state.snapshot
+    machine = load_state(snapshot.state) if snapshot is not None else MachineState()
+    for entry in state.log.entries:
+        if (snapshot is None or entry.index > snapshot.index) and (
+            entry.index <= state.commit
+        ):
+            apply_entry(machine, entry)
+    return machine
+
+
 def _restore_log(recovered: RecoveredState) -> Log:
     snapshot, entries = recovered.snapshot, recovered.entries
     if snapshot is None:
@@ -157,7 +173,7 @@
 ) -> NodeTask:
     """Return the node task with its recovered state."""
     state = restore_raft_state(recovered, uuid.uuid4().int)
-    machine = load_state(state.snapshot.state) if state.snapshot else MachineState()
+    machine = restore_machine(state)
     state.open_to_vms = cfg.open_to_vms
     own_node = Node(recovered.node, cfg.vm, cfg.host, cfg.peer_port, not cfg.founding)
     outputs = NodeOutputs(links.send, persist, links.update_links, discovery.post)
--- a/src/snipecart/control/node.py
+++ b/src/snipecart/control/node.py
@@ -100,7 +100,7 @@
         self.pending_replies: dict[LogIndex, Callable[[Any], None]] = {}
         self._tick_due = Instant(0.0)
         self._join_due = Instant(0.0)
-        self.snapshot_index = state.commit
+        self.snapshot_index = state.snapshot.index if state.snapshot else LogIndex(0)
 
     def next_wait(self, now: Instant) -> float:
         """Return the seconds until the next Raft timer or tick is due."""
--- a/src/snipecart/control/raft/election.py
+++ b/src/snipecart/control/raft/election.py
@@ -10,7 +10,6 @@
 from ...core.states import DiskState
 from ...core.states import Role
 from ...messages.commands import Noop
-from ...messages.raft import DiskBatch
 from ...messages.raft import VoteAnswer
 from ...messages.raft import VoteRequest
 from . import timing
@@ -59,7 +58,7 @@
 
 def persist_vote(state: RaftState) -> Persist:
     """Return the effect that persists the current term and vote."""
-    return Persist(DiskBatch(state.term, state.voted_for, LogIndex(0), ()))
+    return Persist(state.make_batch())
 
 
 def start_pre_vote(state: RaftState, now: Instant) -> list[Effect]:
--- a/src/snipecart/control/raft/replication.py
+++ b/src/snipecart/control/raft/replication.py
@@ -12,7 +12,6 @@
 from ...messages.commands import Node
 from ...messages.raft import AppendAnswer
 from ...messages.raft import AppendRequest
-from ...messages.raft import DiskBatch
 from ...messages.raft import DiskSnapshot
 from ...messages.raft import SnapshotRequest
 from . import timing
@@ -48,6 +47,9 @@
 Followers that lag by fewer need no snapshot.
 """
 
+COMMIT_PERSIST_INTERVAL = 0.2
+"""Seconds between two batches for the disk that contain only a newer commit index."""
+
 SNAPSHOT_RETRY_INTERVAL = 2.0
 """Seconds before a snapshot is sent to the same peer again."""
 
@@ -63,12 +65,15 @@
     A leader sends heartbeats, or steps down if no quorum answers. Another process
     starts a pre-vote once its election timeout has passed.
     """
+    effects = _persist_commit(state, now)
     if state.role is not Role.LEADER:
-        return start_pre_vote(state, now) if now >= state.election_due else []
+        if now >= state.election_due:
+            effects += start_pre_vote(state, now)
+        return effects
     confirmed = max(state.quorum_confirmed_at(now), state.leader_since)
     if now > confirmed + timing.STEP_DOWN_TIMEOUT:
-        return become_follower(state, state.term, NodeId(""), now)
-    effects = maintain_voters(state, now)
+        return effects + become_follower(state, state.term, NodeId(""), now)
+    effects += maintain_voters(state, now)
     if now >= state.heartbeat_due:
         state.heartbeat_due = Instant(now + timing.HEARTBEAT_INTERVAL)
         effects += [
@@ -77,6 +82,19 @@
     return effects
 
 
+def _persist_commit(state: RaftState, now: Instant) -> list[Effect]:
+    """Persist a newer commit index, at most once in COMMIT_PERSIST_INTERVAL.
+
+    A process that restarts can then use the entries up to it at once, without a leader.
+    """
+    is_newer = state.commit > state.persisted_commit
+    blocked = state.disk is DiskState.BLOCKED
+    if not is_newer or blocked or now < state.persist_commit_due:
+        return []
+    state.persist_commit_due = Instant(now + COMMIT_PERSIST_INTERVAL)
+    return [Persist(state.make_batch())]
+
+
 @HANDLERS.register(Propose)
 def handle_propose(state: RaftState, proposal: Propose, now: Instant) -> list[Effect]:
     """Append a command to the leader's log and persist it."""
@@ -86,13 +104,7 @@
     entry = Entry(index, state.term, proposal.at, proposal.command)
     state.log.append(entry)
     effects = _adopt_memberships(state, (entry,))
-    return [*effects, _make_persist(state, LogIndex(0), (entry,))]
-
-
-def _make_persist(
-    state: RaftState, cut_from: LogIndex, entries: tuple[Entry, ...]
-) -> Persist:
-    return Persist(DiskBatch(state.term, state.voted_for, cut_from, entries))
+    return [*effects, Persist(state.make_batch((entry,)))]
 
 
 @HANDLERS.register(Flush)
@@ -234,7 +246,7 @@
         cut_from = first
     for entry in new_entries:
         log.append(entry)
-    effects.append(_make_persist(state, cut_from, new_entries))
+    effects.append(Persist(state.make_batch(new_entries, cut_from)))
     return effects + _adopt_memberships(state, new_entries)
 
 
@@ -373,7 +385,7 @@
     state.memberships = [Membership(req.index, req.voters, req.learners)]
     state.commit = req.index
     state.synced_index = req.index
-    rest = DiskBatch(state.term, state.voted_for, LogIndex(0), ())
+    rest = state.make_batch()
     return [
         *effects,
         PersistSnapshot(snapshot, rest),
@@ -401,5 +413,5 @@
     later = [other for other in state.memberships if other.index > membership.index]
     state.memberships = [membership, *later]
     entries = tuple(state.log.entries)
-    rest = DiskBatch(state.term, state.voted_for, LogIndex(0), entries)
+    rest = state.make_batch(entries)
     return [PersistSnapshot(snapshot, rest)]
--- a/src/snipecart/control/raft/state.py
+++ b/src/snipecart/control/raft/state.py
@@ -16,6 +16,7 @@
 from ...core.registry import Registry
 from ...core.states import DiskState
 from ...core.states import Role
+from ...messages.raft import DiskBatch
 from . import timing
 from .log import Log
 
@@ -24,10 +25,13 @@
 
     from ...messages.commands import Entry
     from ...messages.commands import Node
-    from ...messages.raft import DiskBatch
     from ...messages.raft import DiskSnapshot
 
 
+NOTHING_CUT = LogIndex(0)
+"""``cut_from`` of a batch that removes no entries."""
+
+
 @dataclass(frozen=True)
 class Tick:
     """Check the election and heartbeat timers."""
@@ -180,6 +184,10 @@
     snapshot: DiskSnapshot | None = None
     commit: LogIndex = LogIndex(0)
     """Index of the last entry known to be committed."""
+    persisted_commit: LogIndex = LogIndex(0)
+    """Value of ``commit`` in the last batch for the disk."""
+    persist_commit_due: Instant = Instant(0.0)
+    """When a newer ``commit`` may go to the disk in a batch of its own."""
     synced_index: LogIndex = LogIndex(0)
     """Index of the last entry that is durable on this process's disk."""
     disk: DiskState = DiskState.WRITABLE
@@ -227,6 +235,15 @@
         recipients = (*self.voters, *self.learners)
         return [node for node in recipients if node.node != self.node_id]
 
+    def make_batch(
+        self,
+        entries: tuple[Entry, ...] = (),
+        cut_from: LogIndex = NOTHING_CUT,
+    ) -> DiskBatch:
+        """Return a batch for the disk with the current term, vote and commit index."""
+        self.persisted_commit = self.commit
+        return DiskBatch(self.term, self.voted_for, cut_from, entries, self.commit)
+
     def quorum_size(self) -> int:
         """Return the number of voters that form a quorum."""
         return len(self.voters) // 2 + 1
--- a/src/snipecart/messages/raft.py
+++ b/src/snipecart/messages/raft.py
@@ -100,6 +100,8 @@
     voted_for: NodeId
     cut_from: LogIndex
     entries: tuple[Entry, ...]
+    commit: LogIndex = LogIndex(0)
+    """Index up to which entries are known to be committed."""
 
 
 @message
--- a/src/snipecart/wire/schema.capnp
+++ b/src/snipecart/wire/schema.capnp
@@ -43,6 +43,7 @@
 struct JoinAnswer { nodes @0 :List(Node); }
 struct DiskBatch {
   term @0 :UInt64; votedFor @1 :Text; cutFrom @2 :UInt64; entries @3 :List(Entry);
+  commit @4 :UInt64;
 }
 struct DiskSnapshot {
   index @0 :UInt64; indexTerm @1 :UInt64; voters @2 :List(Node);
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -9,9 +9,9 @@
 from random import Random
 from typing import Any
 
-from snipecart.control import raft
 from snipecart.control.disk.store import RecoveredState
 from snipecart.control.disk.task import RETRY_INTERVAL
+from snipecart.control.factory import restore_machine
 from snipecart.control.factory import restore_raft_state
 from snipecart.control.machine.state import MachineState
 from snipecart.control.machine.state import apply_entry
@@ -50,6 +50,7 @@
 from snipecart.messages.commands import SealNotRun
 from snipecart.messages.commands import SubmitAnswer
 from snipecart.messages.commands import SubmitText
+from snipecart.messages.raft import DiskBatch
 from snipecart.messages.raft import JoinRequest
 
 TICK_INTERVAL = 0.1
@@ -87,6 +88,7 @@
                     item for item in recovered.entries if item.index < batch.cut_from
                 ]
             recovered.entries += batch.entries
+            recovered.commit = max(recovered.commit, batch.commit)
         return recovered
 
 
@@ -139,7 +141,7 @@
         self.seen: dict[str, int] = defaultdict(int)
         founders = tuple(Node(NodeId(f"{vm}/founder"), vm, vm, 1) for vm in VMS)
         first = Entry(LogIndex(1), 1, UnixMillis(0), ChangeVoters(founders, ()))
-        batch = raft.replication.DiskBatch(Term(1), NodeId(""), LogIndex(0), (first,))
+        batch = DiskBatch(Term(1), NodeId(""), LogIndex(0), (first,))
         self.processes = {}
         for vm in VMS:
             disk = Disk(NodeId(f"{vm}/founder"), [Persist(batch)])
@@ -160,8 +162,7 @@
         state.last_leader_contact = now
         state.reset_election_timer(now)
         process.state = state
-        snapshot = state.snapshot
-        process.machine = load_state(snapshot.state) if snapshot else MachineState()
+        process.machine = restore_machine(state)
         process.applied = state.commit
         process.inbox, process.pending_proposals, process.sync_scheduled = [], {}, False
         process.disk.pending, process.blocked = [], False
