Read answers under one deadline and within bounds, and believe only own refusals

Cause: the timeout of an exchange applied to each receive call, and nothing bounded its bytes. Against a server that wrote a byte each 50 ms, a request with 0.4 s left lasted 3.0 s and a body without length then counted as complete; a status line or interim answers in pieces held it for 3.4 s; a fast endless body took gigabytes. On a kept connection a refusal without a request id was taken as the own one, so a request that the server was running counted as not run (503, or a second server). Of two lengths the first was believed, and a 103 with the id was passed on as the answer.

Ruled out: a shorter timeout per receive call, which any piece renews; a new connection for each non-idempotent request, whose price all of them would pay.

Change: the reader of a connection holds the limits of the exchange in progress: deadline, bytes of heads (interim answers included), bytes in all, and memory that all answers of a process share (`answer_memory_mb`, `max_answer_mb`). An answer without an id is believed only as the first on its connection; a connection on which a request was refused does not carry it again. Ambiguous lengths, codings and header lines end the exchange. A long body is sent for as long as the server reads it; an answer that comes first is delivered. Ends have types (answer_too_large, answer_memory_full, answer_malformed, answer_not_own) where the log had the name of an exception. Connections and answers are modules of their own.

--- a/src/snipecart/core/failures.py
+++ b/src/snipecart/core/failures.py
@@ -254,6 +254,30 @@
     category = Category.TIMEOUT
 
 
+class AnswerTooLarge(Failure):
+    """Report an answer of a backend server that exceeds a limit."""
+
+    category = Category.UPSTREAM
+
+
+class AnswerMemoryFull(Failure):
+    """Report an answer for which this process has no memory left."""
+
+    category = Category.UPSTREAM
+
+
+class AnswerMalformed(Failure):
+    """Report an answer whose head is not valid HTTP or contradicts itself."""
+
+    category = Category.UPSTREAM
+
+
+class AnswerNotOwn(Failure):
+    """Report that only answers to other requests came on a connection."""
+
+    category = Category.UPSTREAM
+
+
 class NotLeader(Failure):
     """Redirect to the control process that leads the replicated log."""
 
--- /dev/null
+++ b/src/snipecart/gateway/answers.py
@@ -0,0 +1,120 @@
+"""Read complete answers of backend servers, and tell whose they are."""
+
+from __future__ import annotations
+
+import http.client
+from email.errors import FirstHeaderLineIsContinuationDefect
+from email.errors import MalformedHeaderDefect
+from email.errors import MissingHeaderBodySeparatorDefect
+from typing import TYPE_CHECKING
+
+from ..core.failures import AnswerMalformed
+from ..core.failures import AnswerNotOwn
+from ..core.failures import AnswerTooLarge
+from .headers import end_to_end
+from .reader import AnswerRejected
+from .request import HttpAnswer
+
+if TYPE_CHECKING:
+    from .connection import Connection
+    from .reader import ReadLimits
+    from .request import HttpRequest
+
+DEFAULT_IDLE_SECONDS = 4.0
+"""Time an idle connection is kept if the backend server states no timeout."""
+
+IDLE_MARGIN_SECONDS = 2.0
+"""Time before the backend server's idle timeout at which reuse stops."""
+
+MAX_FOREIGN_ANSWERS = 1
+"""Answers to other requests that may precede the expected one."""
+
+HEAD_DEFECTS = (
+    FirstHeaderLineIsContinuationDefect,
+    MalformedHeaderDefect,
+    MissingHeaderBodySeparatorDefect,
+)
+
+
+def read_answer(
+    conn: Connection,
+    req: HttpRequest,
+    id_header: str,
+    limits: ReadLimits,
+    request_complete: bool,
+) -> tuple[HttpAnswer, float]:
+    """Return the complete answer and the seconds the connection may stay idle.
+
+    Skip interim answers and, after a complete request, MAX_FOREIGN_ANSWERS to other
+    requests. Raise AnswerRejected, OSError or HTTPException if no complete own answer
+    follows.
+    """
+    conn.sock.reader.start_answer(limits)
+    raw = http.client.HTTPConnection.getresponse(conn.http)
+    foreign = 0
+    while True:
+        body = _read_body(conn, raw, limits)
+        first = not (conn.reused or foreign)
+        if raw.status >= http.client.OK and _is_own(raw, req, id_header, first):
+            answer = HttpAnswer(
+                raw.status, raw.reason, end_to_end(raw.getheaders()), body
+            )
+            return answer, 0.0 if foreign else _idle_seconds(conn, raw)
+        foreign += raw.status >= http.client.OK
+        if foreign > MAX_FOREIGN_ANSWERS * request_complete:
+            raise AnswerRejected(AnswerNotOwn())
+        conn.sock.reader.start_answer(limits)
+        raw = http.client.HTTPResponse(conn.sock, method=req.method)
+        raw.begin()
+
+
+def _is_own(
+    raw: http.client.HTTPResponse, req: HttpRequest, id_header: str, first: bool
+) -> bool:
+    """Return whether an answer belongs to the request.
+
+    An answer without an ID may repeat the answer to an earlier request, unless it is
+    the first on its connection.
+    """
+    returned_id = raw.getheader(id_header)
+    if returned_id is None:
+        return first and raw.status >= http.client.MULTIPLE_CHOICES
+    return returned_id == req.request_id
+
+
+def _read_body(
+    conn: Connection, raw: http.client.HTTPResponse, limits: ReadLimits
+) -> bytes:
+    conn.sock.reader.end_head()
+    _check_head(raw)
+    if raw.length is not None and raw.length > limits.body_bytes:
+        raise AnswerRejected(AnswerTooLarge(f"{raw.length} bytes"))
+    return raw.read()
+
+
+def _check_head(raw: http.client.HTTPResponse) -> None:
+    """Raise AnswerRejected if the length of the body is ambiguous."""
+    if any(isinstance(defect, HEAD_DEFECTS) for defect in raw.headers.defects):
+        raise AnswerRejected(AnswerMalformed("header line"))
+    if raw.status == http.client.SWITCHING_PROTOCOLS:
+        raise AnswerRejected(AnswerMalformed("switch of protocols"))
+    lengths = {value.strip() for value in raw.headers.get_all("Content-Length", [])}
+    codings = raw.headers.get_all("Transfer-Encoding", [])
+    if codings and (lengths or not raw.chunked):
+        raise AnswerRejected(AnswerMalformed("Transfer-Encoding"))
+    if len(lengths) > 1 or not all(
+        value.isascii() and value.isdecimal() for value in lengths
+    ):
+        raise AnswerRejected(AnswerMalformed("Content-Length"))
+
+
+def _idle_seconds(conn: Connection, raw: http.client.HTTPResponse) -> float:
+    """Return the seconds the connection may be kept idle; 0 if it must be closed."""
+    if raw.will_close or conn.sock.reader.buffered_bytes:
+        return 0.0
+    keep_alive = raw.getheader("Keep-Alive", "")
+    _, found, rest = keep_alive.partition("timeout=")
+    seconds = rest.split(",")[0].strip()
+    if found and seconds.isdecimal():
+        return max(0.0, int(seconds) - IDLE_MARGIN_SECONDS)
+    return DEFAULT_IDLE_SECONDS
--- a/src/snipecart/gateway/balancing/task.py
+++ b/src/snipecart/gateway/balancing/task.py
@@ -43,7 +43,7 @@
 """Seconds that a worker waits for the task to select a server."""
 
 UNUSED_SEND = SendResult(
-    SendOutcome.CANCELLED, 0.0, detail="server was selected too late"
+    SendOutcome.CANCELLED, 0.0, failure=Busy("server was selected too late")
 )
 
 DestinationFuture = Future[Result["Destination", Failure]]
--- a/src/snipecart/gateway/body.py
+++ b/src/snipecart/gateway/body.py
@@ -7,8 +7,6 @@
 from __future__ import annotations
 
 import socket
-import threading
-from contextlib import contextmanager
 from contextlib import suppress
 from dataclasses import dataclass
 from io import BytesIO
@@ -25,12 +23,13 @@
 from ..core.failures import BodyTooSlow
 from ..core.failures import Failure
 from ..core.task import monotonic
-from .metrics import BODY_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from ..core.ids import Instant
+    from .memory import MemoryBudget
+    from .memory import MemoryReservation
 
 PIECE_BYTES = 65_536
 """Bytes of a body that are read at once."""
@@ -49,59 +48,6 @@
 HEX_DIGITS = frozenset(b"0123456789abcdefABCDEF")
 
 
-class BodyMemory:
-    """Count the bytes of all bodies in memory, up to a limit."""
-
-    def __init__(self, limit: int) -> None:
-        self._lock = threading.Lock()
-        self._limit, self._used = limit, 0
-
-    @property
-    def free(self) -> int:
-        """Return the bytes that may still be reserved."""
-        return self._limit - self._used
-
-    def try_reserve(self, size: int) -> bool:
-        """Reserve a number of bytes; return False if fewer are free."""
-        with self._lock:
-            if self._used + size > self._limit:
-                return False
-            self._used += size
-        BODY_BYTES.inc(size)
-        return True
-
-    def release(self, size: int) -> None:
-        """Free reserved bytes."""
-        with self._lock:
-            self._used -= size
-        BODY_BYTES.dec(size)
-
-
-@dataclass
-class BodyReservation:
-    """Store the memory that one body has reserved so far."""
-
-    memory: BodyMemory
-    reserved: int = 0
-
-    def grow(self, size: int) -> bool:
-        """Reserve more bytes; return False if they are not free."""
-        reserved = self.memory.try_reserve(size)
-        if reserved:
-            self.reserved += size
-        return reserved
-
-
-@contextmanager
-def reserving(memory: BodyMemory) -> Iterator[BodyReservation]:
-    """Free the memory of one body when the block ends."""
-    reservation = BodyReservation(memory)
-    try:
-        yield reservation
-    finally:
-        memory.release(reservation.reserved)
-
-
 @dataclass(frozen=True)
 class BodyFraming:
     """Describe how the length of a body is known, and its limits."""
@@ -124,7 +70,7 @@
 
 
 def read_body(
-    stream: Any, framing: BodyFraming, reservation: BodyReservation
+    stream: Any, framing: BodyFraming, reservation: MemoryReservation
 ) -> Result[bytes, Failure]:
     """Return the complete body of a request.
 
@@ -134,8 +80,8 @@
     if not framing.chunked:
         if framing.max_bytes and framing.length > framing.max_bytes:
             return Error(BodyTooLarge(f"{framing.length} bytes"))
-        if framing.length > reservation.memory.free:
-            return Error(_memory_full(framing.length, reservation.memory))
+        if framing.length > reservation.budget.free:
+            return Error(_memory_full(framing.length, reservation.budget))
     body = BytesIO()
     try:
         pieces = (
@@ -147,7 +93,7 @@
             if framing.max_bytes and body.tell() + len(piece) > framing.max_bytes:
                 return Error(BodyTooLarge(f"over {framing.max_bytes} bytes"))
             if not reservation.grow(len(piece)):
-                return Error(_memory_full(len(piece), reservation.memory))
+                return Error(_memory_full(len(piece), reservation.budget))
             body.write(piece)
     except _BodyFailed as exc:
         return Error(exc.failure)
@@ -168,8 +114,8 @@
             discarded += len(piece)
 
 
-def _memory_full(size: int, memory: BodyMemory) -> BodyMemoryFull:
-    return BodyMemoryFull(f"{size} bytes more, {memory.free} free")
+def _memory_full(size: int, budget: MemoryBudget) -> BodyMemoryFull:
+    return BodyMemoryFull(f"{size} bytes more, {budget.free} free")
 
 
 def _read_exactly(stream: Any, size: int, framing: BodyFraming) -> Iterator[bytes]:
--- a/src/snipecart/gateway/factory.py
+++ b/src/snipecart/gateway/factory.py
@@ -17,13 +17,16 @@
 from ..core.task import running
 from ..messages.discovery import Gateway
 from ..program.listener import HttpListener
+from .backends import AnswerLimits
 from .backends import BackendConnectionPool
 from .balancing.budget import BudgetRule
 from .balancing.link import LinkBudget
 from .balancing.state import BalancerState
 from .balancing.state import Locality
 from .balancing.task import BalancerTask
-from .body import BodyMemory
+from .memory import MemoryBudget
+from .metrics import ANSWER_BYTES
+from .metrics import BODY_BYTES
 from .pipeline import GatewayContext
 from .pipeline import make_pipeline
 from .server import RequestContext
@@ -84,7 +87,8 @@
 @contextmanager
 def gateway_tasks(cfg: GatewaySettings, names: HeaderNames) -> Iterator[GatewayTasks]:
     """Run the tasks of a gateway and its connection pool until the block ends."""
-    backends = BackendConnectionPool(cfg.host, names)
+    limits = AnswerLimits(body_bytes=int(cfg.max_answer_mb * BYTES_PER_MB))
+    backends = BackendConnectionPool(cfg.host, names, limits)
     balancer = BalancerTask(make_balancer_state(cfg), backends.close_idle_except)
     sync = SyncTask(make_gateway(cfg), cfg.control, cfg.host, balancer)
     watch = WatchTask()
@@ -108,7 +112,8 @@
         names,
         tasks.watch,
         tasks.balancer,
-        BodyMemory(int(cfg.body_memory_mb * BYTES_PER_MB)),
+        MemoryBudget(int(cfg.body_memory_mb * BYTES_PER_MB), BODY_BYTES),
+        MemoryBudget(int(cfg.answer_memory_mb * BYTES_PER_MB), ANSWER_BYTES),
         ctx.rng,
     )
     listener = HttpListener(cfg.host, cfg.port, cfg.threads)
--- a/src/snipecart/gateway/metrics.py
+++ b/src/snipecart/gateway/metrics.py
@@ -24,6 +24,9 @@
 BODY_BYTES = Gauge(
     "snipecart_gateway_body_bytes", "Bytes of request bodies that are held in memory"
 )
+ANSWER_BYTES = Gauge(
+    "snipecart_gateway_answer_bytes", "Bytes of answers that are held in memory"
+)
 REQUEST_SECONDS = Histogram(
     "snipecart_gateway_request_seconds",
     "Time from taking a request to its answer",
--- a/src/snipecart/gateway/pipeline.py
+++ b/src/snipecart/gateway/pipeline.py
@@ -13,8 +13,7 @@
 from expression import Result
 
 from ..core.failures import AttemptsSpent
-from ..core.failures import BackendBroken
-from ..core.failures import BackendTimedOut
+from ..core.failures import BackendShed
 from ..core.failures import ClientGone
 from ..core.failures import DeadlinePassed
 from ..core.failures import Failure
@@ -163,12 +162,10 @@
     if result.end is SendOutcome.CANCELLED:
         return FailedRequest(ClientGone(), True, 0.0, routed, attempts)
     ends = [attempt.end for attempt in attempts]
+    failure = result.failure or BackendShed()
     if could_have_run(ends):
-        failure = (
-            BackendTimedOut if result.end is SendOutcome.TIMED_OUT else BackendBroken
-        )
-        return FailedRequest(failure(result.detail), True, 0.0, routed, attempts)
-    return _refuse(ctx, routed, AttemptsSpent(result.detail), attempts)
+        return FailedRequest(failure, True, 0.0, routed, attempts)
+    return _refuse(ctx, routed, AttemptsSpent(failure.reason), attempts)
 
 
 def _refuse(
--- a/src/snipecart/gateway/reader.py
+++ b/src/snipecart/gateway/reader.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 import io
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
 
+from ..core.failures import AnswerMemoryFull
+from ..core.failures import AnswerTooLarge
+from ..core.task import monotonic
+
 if TYPE_CHECKING:
     import socket
 
+    from ..core.failures import Failure
+    from ..core.ids import Instant
+    from .memory import MemoryReservation
+
 RECEIVE_SIZE = 65_536
 
 
@@ -16,6 +25,46 @@
     """Report a connection that ended within the head of an answer."""
 
 
+class AnswerRejected(ValueError):
+    """Carry the failure for which an answer is not read to its end."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.reason)
+        self.failure = failure
+
+
+@dataclass
+class ReadLimits:
+    """Limit the time and the bytes of one exchange, whatever the peer sends."""
+
+    deadline: Instant
+    """Instant at which reading stops."""
+    head_bytes: int
+    """Bytes of heads that may still be read, those of interim answers included."""
+    body_bytes: int
+    reservation: MemoryReservation
+
+    def seconds_left(self) -> float:
+        """Return the seconds until the deadline; raise TimeoutError once it passed."""
+        seconds = self.deadline - monotonic()
+        if seconds <= 0:
+            raise TimeoutError
+        return seconds
+
+    def count_head(self, size: int) -> None:
+        """Count the bytes of a line of a head."""
+        self.head_bytes -= size
+        if self.head_bytes < 0:
+            raise AnswerRejected(AnswerTooLarge("head"))
+
+    def count_received(self, size: int) -> None:
+        """Count received bytes, which stay in memory until the exchange ends."""
+        if self.reservation.reserved + size > self.body_bytes:
+            raise AnswerRejected(AnswerTooLarge(f"over {self.body_bytes} bytes"))
+        if not self.reservation.grow(size):
+            raise AnswerRejected(AnswerMemoryFull())
+
+
 class KeepAliveReader(io.BufferedIOBase):
     """Buffer the bytes of a socket across several answers.
 
@@ -25,6 +74,16 @@
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
         self._buffer = bytearray()
+        self._limits: ReadLimits | None = None
+        self._in_head = False
+
+    def start_answer(self, limits: ReadLimits) -> None:
+        """Apply limits to the answer that is read next, starting with its head."""
+        self._limits, self._in_head = limits, True
+
+    def end_head(self) -> None:
+        """Stop counting lines as part of a head."""
+        self._in_head = False
 
     @property
     def buffered_bytes(self) -> int:
@@ -39,12 +98,18 @@
         return True
 
     def _receive(self) -> bool:
+        limits = self._limits
+        if limits is not None:
+            self._sock.settimeout(limits.seconds_left())
         chunk = self._sock.recv(RECEIVE_SIZE)
+        if limits is not None:
+            limits.count_received(len(chunk))
         self._buffer += chunk
         return bool(chunk)
 
     def _consume(self, size: int) -> bytes:
-        consumed = bytes(self._buffer[:size])
+        with memoryview(self._buffer) as view:
+            consumed = bytes(view[:size])
         del self._buffer[:size]
         return consumed
 
@@ -58,12 +123,17 @@
         while True:
             end = self._buffer.find(b"\n") + 1
             if end and (limit < 0 or end <= limit):
-                return self._consume(end)
+                return self._consume_line(end)
             if 0 <= limit <= len(self._buffer):
-                return self._consume(limit)
+                return self._consume_line(limit)
             if not self._receive():
                 raise CutShort
 
+    def _consume_line(self, size: int) -> bytes:
+        if self._in_head and self._limits is not None:
+            self._limits.count_head(size)
+        return self._consume(size)
+
     def read(self, size: int | None = -1) -> bytes:
         """Read ``size`` bytes, or everything until the peer closes."""
         limit = -1 if size is None else size
--- a/src/snipecart/gateway/request.py
+++ b/src/snipecart/gateway/request.py
@@ -10,6 +10,8 @@
 
 from ..core.ids import Instant
 from ..core.task import monotonic
+from .memory import MemoryReservation
+from .memory import unlimited_reservation
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -87,6 +89,10 @@
     """Timeout from the client in milliseconds; 0 uses the timeout of the route."""
     received_at: Instant
     cancellation: Cancellation = field(default_factory=Cancellation, compare=False)
+    answer_memory: MemoryReservation = field(
+        default_factory=unlimited_reservation, compare=False
+    )
+    """Memory reserved for the answer until it is written to the client."""
 
 
 @dataclass(frozen=True)
@@ -158,7 +164,8 @@
     answer: HttpAnswer | None = None
     """Complete answer; None if there was none."""
     load_report: LoadReport | None = None
-    detail: str = ""
+    failure: Failure | None = None
+    """Why there is no complete answer; None if there is one."""
 
 
 @dataclass(frozen=True)
--- a/src/snipecart/gateway/server.py
+++ b/src/snipecart/gateway/server.py
@@ -35,12 +35,12 @@
 from ..program.http import make_http_server
 from ..program.http import running_server
 from .body import BodyFraming
-from .body import BodyMemory
-from .body import BodyReservation
 from .body import discard_input
 from .body import read_body
-from .body import reserving
 from .headers import end_to_end
+from .memory import MemoryBudget
+from .memory import MemoryReservation
+from .memory import reserving
 from .metrics import REFUSALS
 from .metrics import REQUEST_SECONDS
 from .metrics import REQUESTS
@@ -81,7 +81,8 @@
     names: HeaderNames
     watch: WatchTask
     balancer: BalancerTask
-    body_memory: BodyMemory
+    body_memory: MemoryBudget
+    answer_memory: MemoryBudget
     rng: Random
     drain_state: DrainState = DrainState.OPEN
 
@@ -93,8 +94,11 @@
         """Read one request, run it through the pipeline and write its answer."""
         ctx: RequestContext = self.req.server.ctx
         _apply_limits(self.req.server, ctx)
-        with reserving(ctx.body_memory) as reservation:
-            request = self._read_request(ctx, reservation)
+        with (
+            reserving(ctx.body_memory) as body_memory,
+            reserving(ctx.answer_memory) as answer_memory,
+        ):
+            request = self._read_request(ctx, body_memory, answer_memory)
             if request.is_ok():
                 self._handle(ctx, request.ok)
             else:
@@ -116,7 +120,10 @@
             self._send_failure(ctx, req, result.error)
 
     def _read_request(
-        self, ctx: RequestContext, reservation: BodyReservation
+        self,
+        ctx: RequestContext,
+        body_memory: MemoryReservation,
+        answer_memory: MemoryReservation,
     ) -> Result[HttpRequest, Failure]:
         """Return the request with its complete body, or why it can't be read."""
         received_at = monotonic()
@@ -141,7 +148,7 @@
                     f"{ctx.names.deadline_ms} is not a valid number of milliseconds"
                 )
             )
-        body = self._read_body(received_at, int(timeout), reservation)
+        body = self._read_body(received_at, int(timeout), body_memory)
         if body.is_error():
             return body
         gateway_headers = {
@@ -163,11 +170,12 @@
                 int(timeout),
                 received_at,
                 Cancellation(),
+                answer_memory,
             )
         )
 
     def _read_body(
-        self, received_at: Instant, timeout_ms: int, reservation: BodyReservation
+        self, received_at: Instant, timeout_ms: int, reservation: MemoryReservation
     ) -> Result[bytes, Failure]:
         raw = self.req
         length = raw.inheaders.get(b"Content-Length", b"0")
--- a/src/snipecart/platform/settings.py
+++ b/src/snipecart/platform/settings.py
@@ -33,7 +33,10 @@
 """Offset from the first internal port to the port of the metrics page."""
 
 BODY_MEMORY_FRACTION = 0.25
-"""Fraction of a VM's memory for the bodies of requests in progress."""
+"""Fraction of a VM's memory for the bodies of requests in progress.
+
+The answers to them have as much, of which one answer may use half.
+"""
 
 DEFAULT_MEMORY_MB = 256.0
 """Memory of a VM whose settings state none."""
@@ -157,6 +160,8 @@
                 "slack": platform.bound("budget_slack", 10.0),
             },
             body_memory_mb=platform.memory_mb * BODY_MEMORY_FRACTION,
+            answer_memory_mb=platform.memory_mb * BODY_MEMORY_FRACTION,
+            max_answer_mb=platform.memory_mb * BODY_MEMORY_FRACTION / 2,
             link_mbps=platform.fields.get("limits", {}).get("link_mbps", 0.0),
             linger_s=grace / 2,
             stop_s=grace * 0.87,
--- a/src/snipecart/program/settings.py
+++ b/src/snipecart/program/settings.py
@@ -122,6 +122,10 @@
     threads: Annotated[int, Field(ge=4, le=1024)] = 160
     body_memory_mb: Annotated[float, Field(gt=0)] = 64.0
     """Memory for the bodies of all requests in progress, in megabytes."""
+    answer_memory_mb: Annotated[float, Field(gt=0)] = 64.0
+    """Memory for the answers of all requests in progress, in megabytes."""
+    max_answer_mb: Annotated[float, Field(gt=0)] = 32.0
+    """Limit of one answer of a backend server, in megabytes."""
     control: Annotated[tuple[ControlPeer, ...], Field(min_length=1)]
     """Control processes to contact first; they name the others."""
     retries: RetryBudgetSettings = RetryBudgetSettings()
--- a/tests/gateway/scripted.py
+++ b/tests/gateway/scripted.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Iterator
 
 RESET = b"<reset>"
@@ -24,13 +25,14 @@
 class ScriptedServer:
     """Store the script of each answer, and the requests received."""
 
-    scripts: list[list[bytes]]
+    scripts: list[Iterable[bytes]]
     port: int = 0
     requests: list[bytes] = field(default_factory=list)
     connections: int = 0
+    reads_bodies: bool = True
 
 
-def _read_request(conn: socket.socket) -> bytes:
+def _read_request(conn: socket.socket, reads_body: bool) -> bytes:
     data = b""
     while b"\r\n\r\n" not in data:
         try:
@@ -45,7 +47,7 @@
     for line in head.split(b"\r\n"):
         if line.lower().startswith(b"content-length:"):
             length = int(line.partition(b":")[2])
-    while len(body) < length:
+    while reads_body and len(body) < length:
         body += conn.recv(65536)
     return head + b"\r\n\r\n" + body
 
@@ -53,7 +55,7 @@
 def _serve(conn: socket.socket, server: ScriptedServer) -> None:
     with conn:
         while True:
-            request = _read_request(conn)
+            request = _read_request(conn, server.reads_bodies)
             if not request:
                 return
             server.requests.append(request)
@@ -64,13 +66,18 @@
                     conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
                 if piece in (RESET, CLOSE):
                     return
-                conn.sendall(piece)
+                try:
+                    conn.sendall(piece)
+                except OSError:
+                    return
 
 
 @contextmanager
-def scripted_server(*scripts: list[bytes]) -> Iterator[ScriptedServer]:
+def scripted_server(
+    *scripts: Iterable[bytes], reads_bodies: bool = True
+) -> Iterator[ScriptedServer]:
     """Answer each request by the next script; close the connection after the last."""
-    server = ScriptedServer([list(script) for script in scripts])
+    server = ScriptedServer(list(scripts), reads_bodies=reads_bodies)
     listener = socket.create_server(("127.0.0.1", 0))
     server.port = listener.getsockname()[1]
 
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -171,3 +171,28 @@
         result = send(server, routed)
     assert result.end is SendOutcome.CANCELLED
     assert time.monotonic() - started_at < 5.0
+
+
+def test_an_answer_before_the_body_is_read_is_returned_immediately():
+    backends = BackendConnectionPool("127.0.0.1", NAMES)
+    routed = make_routed(seconds=5.0, method="POST", body=b"b" * 20_000_000)
+    with scripted_server([answer()], [answer()], reads_bodies=False) as server:
+        started_at = time.monotonic()
+        assert send(server, routed, backends).answer.body == b"whole"
+        assert time.monotonic() - started_at < 2.0
+        assert send(server, backends=backends).answer.body == b"whole"
+        assert server.connections == 2
+
+
+def test_a_long_body_arrives_whole_and_its_connection_is_kept():
+    backends = BackendConnectionPool("127.0.0.1", NAMES)
+    body = bytes(range(256)) * 20_000
+    routed = make_routed(seconds=5.0, method="POST", body=body)
+    with scripted_server([answer()], [answer()]) as server:
+        for _ in range(2):
+            assert send(server, routed, backends).answer.body == b"whole"
+        assert server.connections == 1
+    head, _, received = server.requests[0].partition(b"\r\n\r\n")
+    assert received == body
+    assert b"content-length: 5120000" in head.lower()
+    assert b"transfer-encoding" not in head.lower()
--- a/tests/gateway/test_body.py
+++ b/tests/gateway/test_body.py
@@ -13,9 +13,10 @@
 from snipecart.core.ids import Instant
 from snipecart.core.task import monotonic
 from snipecart.gateway.body import BodyFraming
-from snipecart.gateway.body import BodyMemory
 from snipecart.gateway.body import read_body
-from snipecart.gateway.body import reserving
+from snipecart.gateway.memory import MemoryBudget
+from snipecart.gateway.memory import reserving
+from snipecart.gateway.metrics import BODY_BYTES
 
 
 @contextmanager
@@ -49,7 +50,7 @@
 
 def read(stream, frame, memory=None):
     """Return the body, or the reason why it can't be read."""
-    memory = memory or BodyMemory(1_000_000)
+    memory = memory or MemoryBudget(1_000_000, BODY_BYTES)
     with reserving(memory) as reservation:
         result = read_body(stream, frame, reservation)
     return result.ok if result.is_ok() else result.error.reason
@@ -109,7 +110,7 @@
 
 
 def test_a_body_without_room_in_memory_is_rejected_before_it_is_read():
-    memory = BodyMemory(250)
+    memory = MemoryBudget(250, BODY_BYTES)
     with reserving(memory) as other:
         assert other.grow(200)
         with sent_by_client(b"x" * 100) as stream:
@@ -121,7 +122,7 @@
 
 
 def test_a_chunk_larger_than_the_free_memory_is_not_read_whole():
-    memory = BodyMemory(100_000)
+    memory = MemoryBudget(100_000, BODY_BYTES)
     chunk = b"7A1200\r\n" + b"x" * 8_000_000
     with sent_by_client(chunk) as stream:
         frame = framing(chunked=True, max_bytes=64_000_000)
@@ -130,7 +131,7 @@
 
 
 def test_concurrent_bodies_never_exceed_the_memory():
-    memory = BodyMemory(300_000)
+    memory = MemoryBudget(300_000, BODY_BYTES)
     peak, ends = [], []
 
     def receive():
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -13,7 +13,9 @@
 from snipecart.core.states import SendOutcome
 from snipecart.gateway.balancing.routes import RouteIndex
 from snipecart.gateway.balancing.task import View
-from snipecart.gateway.body import BodyMemory
+from snipecart.gateway.memory import MemoryBudget
+from snipecart.gateway.metrics import ANSWER_BYTES
+from snipecart.gateway.metrics import BODY_BYTES
 from snipecart.gateway.request import AnsweredRequest
 from snipecart.gateway.request import Attempt
 from snipecart.gateway.request import HeaderNames
@@ -60,7 +62,8 @@
         HeaderNames(),
         WatchTask(),
         balancer,
-        BodyMemory(body_memory),
+        MemoryBudget(body_memory, BODY_BYTES),
+        MemoryBudget(body_memory, ANSWER_BYTES),
         Random(7),
     )
     with serving_requests(HttpListener(HOST, PORT, 8), ctx):
