Tell a control process that starts again which servers leave or have left

Cause: tombstones live in the memory of a control process. One that had started again took a late heartbeat of a server that had left, or that drained, for that of a new or serving one, for up to 8 s. Gateways that run keep tombstones of their own; a gateway that started then and followed that process would have used the server.

Ruled out: tombstones in the replicated log, one entry for each departure; waiting with all heartbeats until a restarted process has settled, which would send servers elsewhere.

Change: gossip names the run of its sender. A process that hears a new run repeats the instances that drain, and those that left within the last 10 s, in its next gossip.

Tests: a late heartbeat after a restart (fails without the change), and that departures are repeated once for each start. If all control processes start at the same moment, no one can tell; then only the gateways' tombstones hold.

--- a/src/snipecart/control/discovery/table.py
+++ b/src/snipecart/control/discovery/table.py
@@ -36,7 +36,8 @@
 LATE_HEARTBEAT_WINDOW = 10.0
 """Seconds after a departure for which late heartbeats may still arrive.
 
-Applies to instances that left before this process received their start time.
+Applies to instances that left before this process received their start time, and to
+what a process that has started again is told.
 """
 
 
@@ -167,6 +168,16 @@
             if tombstone.revision > revision:
                 yield Change(tombstone.instance, gone=True)
 
+    def departures(self, now: Instant) -> Iterator[Change]:
+        """Yield the instances that drain, and those that left a short time ago."""
+        for item in self.live.values():
+            if item.instance.state is EndpointState.LEAVING:
+                yield Change(with_remaining_cold(item, now), gone=False)
+        for tombstone in self.tombstones.values():
+            departed = tombstone.instance.sequence == FINAL_SEQUENCE
+            if departed and now < tombstone.removed_at + LATE_HEARTBEAT_WINDOW:
+                yield Change(tombstone.instance, gone=True)
+
     def _is_stale(self, received: Instance) -> bool:
         """Return whether a later heartbeat is stored.
 
--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -112,6 +112,8 @@
         self.gateways = GatewayTable()
         self.committed_state = CommittedState()
         self.contacts: dict[VmName, Instant] = {}
+        self.runs: dict[VmName, str] = {}
+        """Latest run id of each other control process."""
         self.unconfirmed: list[UnconfirmedUpdate] = []
         self.gossip_updates: list[Heard] = []
         self.lookup_index = LookupIndex()
@@ -144,7 +146,7 @@
             self._expire(now)
         if now >= self._gossip_due:
             self._gossip_due = Instant(now + GOSSIP_INTERVAL)
-            self.broadcast(Gossip(self.vm, tuple(self.gossip_updates)))
+            self.broadcast(Gossip(self.vm, tuple(self.gossip_updates), self.run_id))
             self.gossip_updates.clear()
         self._update_lookup_index(now)
 
@@ -295,9 +297,20 @@
 
 @HANDLERS.register(Gossip)
 def handle_gossip(task: DiscoveryTask, req: IncomingMessage, now: Instant) -> None:
-    """Record the heartbeats that another control process received and pushed."""
-    task.contacts[req.message.sender] = now
-    for item in req.message.heard:
+    """Record the heartbeats that another control process received and pushed.
+
+    Tell a process that has started again which instances leave or have left. It would
+    otherwise take a late heartbeat of such an instance for that of a new one.
+    """
+    gossip: Gossip = req.message
+    task.contacts[gossip.sender] = now
+    if gossip.run != task.runs.get(gossip.sender, ""):
+        task.runs[gossip.sender] = gossip.run
+        task.gossip_updates += [
+            Heard(change.instance, change.gone)
+            for change in task.instances.departures(now)
+        ]
+    for item in gossip.heard:
         task.instances.apply_update(item.instance, item.gone, now)
 
 
--- a/src/snipecart/messages/discovery.py
+++ b/src/snipecart/messages/discovery.py
@@ -155,3 +155,5 @@
 
     sender: VmName
     heard: tuple[Heard, ...]
+    run: str = ""
+    """Id of the sender's run; a new one tells that the sender has started again."""
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -372,3 +372,51 @@
     assert LookupIndex((other, nearby)).select_gateways("north", "north-a", 1) == [
         nearby
     ]
+
+
+def gossiped_by(task):
+    """Return the messages that a task broadcasts."""
+    sent = []
+    task.broadcast = sent.append
+    return sent
+
+
+def pass_on(sent, receiver, now):
+    receiver.task.handle([IncomingMessage(message, print) for message in sent], now)
+
+
+def test_a_restarted_process_ignores_late_heartbeats_of_servers_that_left():
+    leaving = make_instance(2, born=1000, sequence=7, state=EndpointState.LEAVING)
+    old, restarted = TaskDriver(), TaskDriver(started_at=50.0)
+    sent = gossiped_by(old.task)
+    old.receive_gossip(50.0, "c2")
+    for instance in (FIRST, leaving):
+        old.send_update(instance, 50.0)
+    old.send_update(replace(FIRST, born=0, sequence=0), 50.1, gone=True)
+    old.task.handle([IncomingMessage(Gossip("c2", (), "first"), print)], 50.6)
+    sent.clear()
+    old.task.handle([IncomingMessage(Gossip("c2", (), "second"), print)], 51.0)
+    pass_on(sent, restarted, 51.1)
+    for late in (
+        replace(FIRST, sequence=6),
+        replace(leaving, sequence=6, state=EndpointState.SERVING),
+    ):
+        restarted.send_update(late, 51.2)
+    live = restarted.task.instances.live
+    assert {name: item.instance.state for name, item in live.items()} == {
+        leaving.instance: EndpointState.LEAVING
+    }
+
+
+def test_departures_are_repeated_once_for_each_start_of_a_process():
+    control = TaskDriver()
+    sent = gossiped_by(control.task)
+    control.receive_gossip(50.0, "c2")
+    control.send_update(FIRST, 50.0)
+    control.send_update(FIRST, 50.1, gone=True)
+    sent.clear()
+    for step in range(6):
+        gossip = IncomingMessage(Gossip("c2", (), "second"), print)
+        control.task.handle([gossip], Instant(50.5 + step / 2))
+    departures = [item for message in sent for item in message.heard if item.gone]
+    assert len(departures) == 2
