Give a connection to a thread only once the head of its request has arrived

Cause: cheroot gives each new connection to a thread at once, and a thread reads the head with a timeout per receive call. 160 clients that sent a byte each half second, or nothing, held all threads of a gateway; a proper client got nothing in 10 s. `header_timeout` of the routing table was read and enforced nowhere.

Ruled out: a timeout for the whole head in the thread. 400 such clients that connect again would hold all threads all the time. A task of its own for such connections: the server has a thread that waits on all sockets.

Change: the server's own thread peeks at what has arrived. Without a complete head it waits until the socket holds more bytes than before (SO_RCVLOWAT), so it wakes once for each piece and never spins. A head over its time is answered 408, which is true: nothing ran. 2,000 connections may wait like that; then the oldest make room. Closed connections no longer wake a thread. Bytes that a thread has already read beyond an earlier request are still read by a thread.

Tests: 100 slow clients against 4 threads, timeouts, heads in pieces, pipelining, heads that are too long, room for new ones.

--- a/src/snipecart/core/events.py
+++ b/src/snipecart/core/events.py
@@ -142,6 +142,9 @@
 SETTINGS_RELOADED = register_event(1008, logbook.NOTICE, "settings reloaded")
 SERVER_ERROR = register_event(1009, logbook.ERROR, "HTTP server reported an error")
 SETTINGS_REFUSED = register_event(1010, logbook.ERROR, "new settings rejected")
+HEAD_TIMED_OUT = register_event(
+    1011, logbook.WARNING, "head of a request did not arrive in time"
+)
 GATEWAY_OUT_OF_SYNC = register_event(
     2213, logbook.WARNING, "gateway has different backend servers"
 )
--- a/src/snipecart/gateway/server.py
+++ b/src/snipecart/gateway/server.py
@@ -344,6 +344,7 @@
     server.limits = limits
     server.max_request_header_size = limits.header_bytes
     server.max_request_body_size = limits.body_bytes
+    server.head_timeout = limits.header_timeout_ms / 1000
     server.timeout = max(1.0, limits.idle_timeout_ms / 1000)
 
 
--- /dev/null
+++ b/src/snipecart/program/heads.py
@@ -0,0 +1,146 @@
+"""Give a connection to a thread only once the head of a request has arrived on it."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+from weakref import WeakKeyDictionary
+
+from cheroot.server import HTTPServer
+
+from ..core.events import HEAD_TIMED_OUT
+from ..core.events import emit
+from ..core.task import monotonic
+
+if TYPE_CHECKING:
+    from cheroot.server import HTTPConnection
+
+    from ..core.ids import Instant
+
+HEAD_TIMEOUT_SECONDS = 10.0
+"""Time from the first byte of a head to its last."""
+
+MAX_HEAD_BYTES = 65_536
+"""Bytes after which a head is given to a thread, which rejects it."""
+
+MAX_PARTIAL_HEADS = 2_000
+"""Connections that may wait without a complete head; the oldest one makes room."""
+
+END_OF_HEAD = b"\r\n\r\n"
+
+TIMEOUT_RESPONSE = (
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+@dataclass
+class PartialHead:
+    """Store how much of a head has arrived on a connection, and since when."""
+
+    started_at: Instant
+    size: int = 0
+
+
+class HeadFirstServer(HTTPServer):
+    """Wait for complete heads in the server's own thread, which waits on all sockets.
+
+    A thread of the pool would be held by one client for as long as it sends its head.
+    The received bytes stay in the socket until a thread reads them.
+    """
+
+    head_timeout = HEAD_TIMEOUT_SECONDS
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._partial: WeakKeyDictionary[HTTPConnection, PartialHead] = (
+            WeakKeyDictionary()
+        )
+
+    def process_conn(self, conn: HTTPConnection) -> None:
+        """Queue a connection with a complete head for a thread, or wait for the rest.
+
+        Close it once the client has closed it or was too slow. A thread also gets what
+        it has read itself, beyond the end of an earlier request.
+        """
+        if conn.rfile.has_data():
+            super().process_conn(conn)
+            return
+        before = self._partial.get(conn) or PartialHead(monotonic())
+        received = self._peek(conn)
+        if _is_complete(received, self.max_request_header_size):
+            self._partial.pop(conn, None)
+            _set_low_water_mark(conn, 1)
+            super().process_conn(conn)
+        elif received is None or len(received) > before.size:
+            self._wait_for_more(conn, before, received or b"")
+        else:
+            self._partial.pop(conn, None)
+            conn.close()
+
+    def _peek(self, conn: HTTPConnection) -> bytes | None:
+        """Return the received bytes without consuming them; None if there are none yet.
+
+        The result is empty if the client has closed the connection.
+        """
+        try:
+            return conn.socket.recv(
+                MAX_HEAD_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT
+            )
+        except BlockingIOError:
+            return None
+        except OSError:
+            return b""
+
+    def _wait_for_more(
+        self, conn: HTTPConnection, head: PartialHead, received: bytes
+    ) -> None:
+        """Wait until further bytes of a head arrive, unless it takes too long."""
+        now = monotonic()
+        if not head.size:
+            head.started_at = now
+        head.size = len(received)
+        if now > head.started_at + self.head_timeout:
+            self._partial.pop(conn, None)
+            emit(HEAD_TIMED_OUT, client=conn.remote_addr, bytes=head.size)
+            _close_with_timeout(conn)
+            return
+        self._make_room()
+        self._partial[conn] = head
+        _set_low_water_mark(conn, head.size + 1)
+        self.put_conn(conn)
+
+    def _make_room(self) -> None:
+        """Shut down the connections that have waited longest if too many wait."""
+        while len(self._partial) >= MAX_PARTIAL_HEADS:
+            conn = next(iter(self._partial))
+            del self._partial[conn]
+            with suppress(OSError):
+                conn.socket.shutdown(socket.SHUT_RDWR)
+
+
+def _is_complete(received: bytes | None, max_bytes: int) -> bool:
+    """Return whether a thread can read a head, or reject it as too long."""
+    if received is None:
+        return False
+    limit = min(max_bytes or MAX_HEAD_BYTES, MAX_HEAD_BYTES)
+    return END_OF_HEAD in received or len(received) >= limit
+
+
+def _set_low_water_mark(conn: HTTPConnection, size: int) -> None:
+    """Let the socket count as readable once it holds this many bytes."""
+    with suppress(OSError):
+        conn.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, size)
+
+
+def _close_with_timeout(conn: HTTPConnection) -> None:
+    """Answer 408, since nothing was run, and close the connection.
+
+    Read what has arrived: a close with unread bytes would reset the connection.
+    """
+    with suppress(OSError):
+        conn.socket.send(TIMEOUT_RESPONSE, socket.MSG_DONTWAIT)
+        conn.socket.recv(MAX_HEAD_BYTES, socket.MSG_DONTWAIT)
+    conn.close()
--- a/src/snipecart/program/http.py
+++ b/src/snipecart/program/http.py
@@ -7,17 +7,19 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from cheroot.server import HTTPServer
 from cheroot.wsgi import Gateway_10
 from cheroot.wsgi import Server as WsgiServer
 
 from ..core.events import SERVER_ERROR
 from ..core.events import emit
+from .heads import HeadFirstServer
 from .threads import ElasticThreadPool
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from cheroot.server import HTTPServer
+
     from .listener import HttpListener
     from .listener import WsgiApp
 
@@ -37,16 +39,20 @@
 """Seconds that requests in progress have to finish when a server stops."""
 
 
+class HeadFirstWsgiServer(HeadFirstServer, WsgiServer):
+    """Serve a WSGI application to requests whose heads are complete."""
+
+
 def make_http_server(listener: HttpListener, gateway: type[Any]) -> HTTPServer:
     """Return a server that passes each request to a subclass of cheroot's gateway."""
-    server = HTTPServer((listener.host, listener.port), gateway)
+    server = HeadFirstServer((listener.host, listener.port), gateway)
     _configure(server, listener)
     return server
 
 
 def make_wsgi_server(listener: HttpListener, app: WsgiApp) -> WsgiServer:
     """Return a server of a WSGI application."""
-    server = WsgiServer((listener.host, listener.port), app)
+    server = HeadFirstWsgiServer((listener.host, listener.port), app)
     server.gateway = Gateway_10
     _configure(server, listener)
     return server
--- /dev/null
+++ b/tests/program/test_heads.py
@@ -0,0 +1,153 @@
+"""Test over sockets that incomplete heads of requests hold no thread."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from contextlib import contextmanager
+
+import pytest
+
+from snipecart.program import heads
+from snipecart.program.http import make_wsgi_server
+from snipecart.program.http import running_server
+from snipecart.program.listener import HttpListener
+
+HOST, PORT = "127.65.0.1", 8190
+THREADS = 4
+HEAD = b"GET /a HTTP/1.1\r\nHost: h\r\n"
+
+
+def app(environ, start_response):
+    """Answer with the request's path and body."""
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    body = environ["PATH_INFO"].encode() + environ["wsgi.input"].read(length)
+    start_response("200 OK", [("Content-Length", str(len(body)))])
+    return [body]
+
+
+@contextmanager
+def server(**attributes):
+    """Run a server of a few threads."""
+    http_server = make_wsgi_server(HttpListener(HOST, PORT, THREADS), app)
+    for name, value in attributes.items():
+        setattr(http_server, name, value)
+    with running_server(http_server):
+        yield http_server
+
+
+def connect(*pieces):
+    sock = socket.create_connection((HOST, PORT), timeout=5.0)
+    for piece in pieces:
+        sock.sendall(piece)
+        time.sleep(0.02)
+    return sock
+
+
+def read_answer(sock):
+    """Return all that arrives until the answer is complete or the peer closes."""
+    data = b""
+    while b"\r\n\r\n/" not in data and (piece := sock.recv(4096)):
+        data += piece
+    return data
+
+
+@pytest.fixture
+def slow_clients():
+    """Open 100 connections that send a byte of a head each 0.1 s."""
+    stopped, sockets = threading.Event(), []
+
+    def send_slowly():
+        while not stopped.wait(0.1):
+            for sock in sockets:
+                try:
+                    sock.sendall(b"x")
+                except OSError:
+                    continue
+
+    def start():
+        sockets.extend(connect() for _ in range(100))
+        for sock in sockets:
+            sock.sendall(HEAD + b"A: ")
+        threading.Thread(target=send_slowly, daemon=True).start()
+        return sockets
+
+    yield start
+    stopped.set()
+    for sock in sockets:
+        sock.close()
+
+
+def test_clients_that_send_their_heads_slowly_hold_no_thread(slow_clients):
+    with server() as http_server:
+        slow_clients()
+        time.sleep(0.3)
+        assert http_server.requests.in_progress == 0
+        started_at = time.monotonic()
+        for _ in range(5):
+            with connect(HEAD + b"\r\n") as sock:
+                assert read_answer(sock).endswith(b"/a")
+        assert time.monotonic() - started_at < 1.0
+
+
+def test_a_slow_head_ends_with_408_at_its_timeout(slow_clients):
+    with server(head_timeout=0.5):
+        started_at = time.monotonic()
+        answers = {sock.recv(4096)[:12] for sock in slow_clients()}
+        assert answers == {b"HTTP/1.1 408"}
+        assert time.monotonic() - started_at < 2.0
+
+
+@pytest.mark.parametrize("size", [1, 3, 7, 500])
+def test_a_head_in_pieces_is_served(size):
+    head = HEAD + b"A: " + b"b" * 100 + b"\r\n\r\n"
+    pieces = [head[at : at + size] for at in range(0, len(head), size)]
+    with server(), connect() as sock:
+        for piece in pieces:
+            sock.sendall(piece)
+            time.sleep(0.002)
+        assert read_answer(sock).endswith(b"/a")
+
+
+def test_several_requests_on_one_connection_are_served():
+    post = b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
+    with server(), connect() as sock:
+        for pieces in ([HEAD, b"\r\n"], [post + b"xyz"], [post, b"x", b"yz"]):
+            for piece in pieces:
+                sock.sendall(piece)
+                time.sleep(0.02)
+            assert read_answer(sock).endswith((b"/a", b"/bxyz"))
+
+
+def test_pipelined_requests_are_served():
+    with server(), connect((HEAD + b"\r\n") * 2 + HEAD) as sock:
+        assert read_answer(sock)
+        sock.sendall(b"\r\n")
+        data = b""
+        while data.count(b"/a") < 1:
+            data += sock.recv(4096)
+
+
+def test_a_client_that_waits_before_its_first_request_is_served():
+    with server(head_timeout=0.2), connect() as sock:
+        time.sleep(0.5)
+        sock.sendall(HEAD + b"\r\n")
+        assert read_answer(sock).endswith(b"/a")
+
+
+def test_a_head_that_is_too_long_is_rejected():
+    with server(max_request_header_size=1000), connect(HEAD + b"A: ") as sock:
+        sock.sendall(b"b" * 2000)
+        assert sock.recv(4096)[:12] == b"HTTP/1.1 413"
+
+
+def test_too_many_incomplete_heads_make_room_for_new_ones(monkeypatch):
+    monkeypatch.setattr(heads, "MAX_PARTIAL_HEADS", 10)
+    with server():
+        waiting = [connect(HEAD) for _ in range(15)]
+        assert waiting[0].recv(10) == b""
+        waiting[-1].sendall(b"\r\n")
+        assert read_answer(waiting[-1]).endswith(b"/a")
+        for sock in waiting:
+            sock.close()
