Limit the threads that wait for bodies, and discard rejected input without a thread

Cause: a thread waited for each body until the client's deadline, so 160 clients that sent bodies slowly held all threads. The deadline was checked between receive calls only; a client that stopped held its thread for the idle timeout of 15 s, and a chunk's size in single bytes held it without end. After a rejection a thread discarded input for 0.5 s.

Ruled out: waiting for whole bodies in the server's own thread as for heads. Bodies don't fit into a socket's buffer.

Change: reading waits with poll until the deadline, lines included. A body that has not arrived takes one of the slots, half of the threads; without one it is rejected at once with 503 and a reason of its own. Rejected connections go back to the server's thread, which discards what arrives for 2 s and 4 MB at most.

--- a/src/snipecart/core/failures.py
+++ b/src/snipecart/core/failures.py
@@ -56,6 +56,12 @@
     category = Category.UNAVAILABLE
 
 
+class BodySlotsFull(Failure):
+    """Reject a request whose body is on its way while too many others are."""
+
+    category = Category.UNAVAILABLE
+
+
 class BodyTooSlow(Failure):
     """Reject a request whose body did not arrive by the client's deadline."""
 
--- a/src/snipecart/gateway/body.py
+++ b/src/snipecart/gateway/body.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
-import socket
-from contextlib import suppress
+import select
+import threading
+from contextlib import contextmanager
 from dataclasses import dataclass
 from io import BytesIO
 from typing import TYPE_CHECKING
@@ -19,12 +20,14 @@
 
 from ..core.failures import BadCall
 from ..core.failures import BodyMemoryFull
+from ..core.failures import BodySlotsFull
 from ..core.failures import BodyTooLarge
 from ..core.failures import BodyTooSlow
 from ..core.failures import Failure
 from ..core.task import monotonic
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Iterator
 
     from ..core.ids import Instant
@@ -37,11 +40,6 @@
 MAX_LINE_BYTES = 8_192
 """Limit of a line that states a chunk's size, and of a trailer line."""
 
-DISCARD_SECONDS = 0.5
-"""Time for which the rest of a rejected body is read and discarded."""
-
-MAX_DISCARDED_BYTES = 4 * 1024 * 1024
-
 MAX_TRAILER_LINES = 64
 
 CRLF = b"\r\n"
@@ -57,8 +55,6 @@
     chunked: bool
     max_bytes: int
     """Limit of the body; 0 for none."""
-    deadline: Instant
-    """Instant at which reading stops."""
 
 
 class _BodyFailed(Exception):
@@ -69,13 +65,94 @@
         self.failure = failure
 
 
+class BodySlots:
+    """Limit how many threads wait for the rest of a body at the same time."""
+
+    def __init__(self, count: int) -> None:
+        self._semaphore = threading.Semaphore(count)
+
+    @contextmanager
+    def waiting(self) -> Iterator[BodySlot]:
+        """Free the slot of one body, if it took one, when the block ends."""
+        slot = BodySlot(self._semaphore)
+        try:
+            yield slot
+        finally:
+            if slot.taken:
+                self._semaphore.release()
+
+
+@dataclass
+class BodySlot:
+    """Store whether the reading of one body has taken a slot."""
+
+    semaphore: threading.Semaphore
+    taken: bool = False
+
+    def take(self) -> bool:
+        """Take a slot unless it is already taken; return False if none is free."""
+        self.taken = self.taken or self.semaphore.acquire(blocking=False)
+        return self.taken
+
+
+class BodyStream:
+    """Read what a client sends, until a deadline."""
+
+    def __init__(
+        self, stream: Any, sock: socket.socket, deadline: Instant, slot: BodySlot
+    ) -> None:
+        self._stream = stream
+        self._deadline = deadline
+        self._slot = slot
+        self._poll = select.poll()
+        self._poll.register(sock.fileno(), select.POLLIN)
+
+    def receive(self, size: int) -> bytes:
+        """Return up to ``size`` buffered bytes, or the bytes of one receive call.
+
+        The result is empty if the client closes the connection.
+        """
+        if self._stream.has_data():
+            return self._stream.read1(size)
+        self._wait()
+        return self._stream.raw.read(size)
+
+    def read_line(self) -> bytes:
+        """Return a line without its CRLF, which must end it."""
+        line = bytearray()
+        while not line.endswith(b"\n") and len(line) < MAX_LINE_BYTES:
+            if not self._stream.has_data():
+                self._wait()
+            buffered = self._stream.peek(1)
+            if not buffered:
+                break
+            end = buffered.find(b"\n") + 1 or len(buffered)
+            line += self._stream.read1(min(end, MAX_LINE_BYTES - len(line)))
+        if not line.endswith(CRLF):
+            raise _BodyFailed(BadCall("line of a chunked body is malformed"))
+        return bytes(line[: -len(CRLF)])
+
+    def _wait(self) -> None:
+        """Wait for bytes, in one of the slots unless they have already arrived."""
+        seconds = self._deadline - monotonic()
+        if seconds <= 0:
+            raise _BodyFailed(BodyTooSlow())
+        if self._poll.poll(0):
+            return
+        if not self._slot.take():
+            raise _BodyFailed(BodySlotsFull())
+        if not self._poll.poll(seconds * 1000):
+            raise _BodyFailed(BodyTooSlow())
+
+
 def read_body(
-    stream: Any, framing: BodyFraming, reservation: MemoryReservation
+    stream: BodyStream, framing: BodyFraming, reservation: MemoryReservation
 ) -> Result[bytes, Failure]:
     """Return the complete body of a request.
 
     Fail with BodyTooLarge or BodyMemoryFull, before reading if the length says so, with
-    BodyTooSlow at the deadline, and with BadCall if the body is malformed or cut short.
+    BodyTooSlow at the deadline, with BodySlotsFull if the body has not arrived and too
+    many others are waited for, and with BadCall if it is malformed or cut short.
     """
     if not framing.chunked:
         if framing.max_bytes and framing.length > framing.max_bytes:
@@ -85,9 +162,9 @@
     body = BytesIO()
     try:
         pieces = (
-            _read_chunks(stream, framing)
+            _read_chunks(stream)
             if framing.chunked
-            else _read_exactly(stream, framing.length, framing)
+            else _read_exactly(stream, framing.length)
         )
         for piece in pieces:
             if framing.max_bytes and body.tell() + len(piece) > framing.max_bytes:
@@ -100,60 +177,32 @@
     return Ok(body.getvalue())
 
 
-def discard_input(sock: socket.socket) -> None:
-    """Discard what a peer sends until it closes, for DISCARD_SECONDS at most."""
-    end = monotonic() + DISCARD_SECONDS
-    discarded = 0
-    with suppress(OSError):
-        sock.shutdown(socket.SHUT_WR)
-        while discarded < MAX_DISCARDED_BYTES and (left := end - monotonic()) > 0:
-            sock.settimeout(left)
-            piece = sock.recv(PIECE_BYTES)
-            if not piece:
-                return
-            discarded += len(piece)
-
-
 def _memory_full(size: int, budget: MemoryBudget) -> BodyMemoryFull:
     return BodyMemoryFull(f"{size} bytes more, {budget.free} free")
 
 
-def _read_exactly(stream: Any, size: int, framing: BodyFraming) -> Iterator[bytes]:
+def _read_exactly(stream: BodyStream, size: int) -> Iterator[bytes]:
     while size:
-        if monotonic() > framing.deadline:
-            raise _BodyFailed(BodyTooSlow(f"{size} bytes missing"))
-        piece = _receive(stream, min(size, PIECE_BYTES))
+        piece = stream.receive(min(size, PIECE_BYTES))
         if not piece:
             raise _BodyFailed(BadCall("body is cut short"))
         size -= len(piece)
         yield piece
 
 
-def _receive(stream: Any, size: int) -> bytes:
-    """Return up to ``size`` buffered bytes, or the bytes of one receive call."""
-    return stream.read1(size) if stream.has_data() else stream.raw.read(size)
-
-
-def _read_chunks(stream: Any, framing: BodyFraming) -> Iterator[bytes]:
+def _read_chunks(stream: BodyStream) -> Iterator[bytes]:
     while size := _read_chunk_size(stream):
-        yield from _read_exactly(stream, size, framing)
-        if stream.read(len(CRLF)) != CRLF:
+        yield from _read_exactly(stream, size)
+        if stream.read_line():
             raise _BodyFailed(BadCall("chunk does not end with a line break"))
     for _ in range(MAX_TRAILER_LINES):
-        if _read_line(stream) == CRLF:
+        if not stream.read_line():
             return
     raise _BodyFailed(BadCall("too many trailer lines"))
 
 
-def _read_chunk_size(stream: Any) -> int:
-    digits = _read_line(stream).partition(b";")[0].strip()
+def _read_chunk_size(stream: BodyStream) -> int:
+    digits = stream.read_line().partition(b";")[0].strip()
     if not digits or not HEX_DIGITS.issuperset(digits):
         raise _BodyFailed(BadCall("chunk size is malformed"))
     return int(digits, 16)
-
-
-def _read_line(stream: Any) -> bytes:
-    line = stream.readline(MAX_LINE_BYTES)
-    if not line.endswith(CRLF):
-        raise _BodyFailed(BadCall("line of a chunked body is malformed"))
-    return line
--- a/src/snipecart/gateway/factory.py
+++ b/src/snipecart/gateway/factory.py
@@ -24,6 +24,7 @@
 from .balancing.state import BalancerState
 from .balancing.state import Locality
 from .balancing.task import BalancerTask
+from .body import BodySlots
 from .memory import MemoryBudget
 from .metrics import ANSWER_BYTES
 from .metrics import BODY_BYTES
@@ -45,6 +46,9 @@
 
 BYTES_PER_MB = 1_000_000
 
+BODY_THREAD_FRACTION = 0.5
+"""Fraction of the threads that may wait for the rest of a body."""
+
 DRAIN_POLL_SECONDS = 0.1
 """Time between two checks whether all requests have ended."""
 
@@ -114,6 +118,7 @@
         tasks.balancer,
         MemoryBudget(int(cfg.body_memory_mb * BYTES_PER_MB), BODY_BYTES),
         MemoryBudget(int(cfg.answer_memory_mb * BYTES_PER_MB), ANSWER_BYTES),
+        BodySlots(int(cfg.threads * BODY_THREAD_FRACTION)),
         ctx.rng,
     )
     listener = HttpListener(cfg.host, cfg.port, cfg.threads)
--- a/src/snipecart/gateway/server.py
+++ b/src/snipecart/gateway/server.py
@@ -35,7 +35,8 @@
 from ..program.http import make_http_server
 from ..program.http import running_server
 from .body import BodyFraming
-from .body import discard_input
+from .body import BodySlots
+from .body import BodyStream
 from .body import read_body
 from .headers import end_to_end
 from .memory import MemoryBudget
@@ -83,6 +84,7 @@
     balancer: BalancerTask
     body_memory: MemoryBudget
     answer_memory: MemoryBudget
+    body_slots: BodySlots
     rng: Random
     drain_state: DrainState = DrainState.OPEN
 
@@ -183,14 +185,14 @@
             return Error(BadCall("Content-Length is not a number"))
         seconds = timeout_ms / 1000 if timeout_ms else MAX_BODY_SECONDS
         framing = BodyFraming(
-            int(length),
-            raw.chunked_read,
-            raw.server.max_request_body_size,
-            Instant(received_at + min(seconds, MAX_BODY_SECONDS)),
+            int(length), raw.chunked_read, raw.server.max_request_body_size
         )
+        deadline = Instant(received_at + min(seconds, MAX_BODY_SECONDS))
         # cheroot would read what its own wrapper of the stream has not seen.
         raw.rfile = raw.conn.rfile
-        return read_body(raw.rfile, framing, reservation)
+        with raw.server.ctx.body_slots.waiting() as slot:
+            stream = BodyStream(raw.rfile, raw.conn.socket, deadline, slot)
+            return read_body(stream, framing, reservation)
 
     def _send_answer(
         self, ctx: RequestContext, req: HttpRequest, answered: AnsweredRequest
@@ -256,11 +258,7 @@
         )
 
     def _send_rejection(self, ctx: RequestContext, failure: Failure) -> None:
-        """Write the answer to a request that was not read, and close its connection.
-
-        Discard what the client still sends for a short time: closing a connection with
-        unread bytes resets it, and the client would not get the answer.
-        """
+        """Write the answer to a request that was not read, and end its connection."""
         fields = {name.lower(): value for name, value in self.req.inheaders.items()}
         name = ctx.names.request_id.lower().encode()
         emit(
@@ -278,7 +276,8 @@
             retry_after = choose_retry_after(ctx.rng, 0)
             headers.append((b"Retry-After", f"{retry_after:.2f}".encode()))
         self._write_response(ctx, f"{status} Refused".encode(), headers, body, status)
-        discard_input(self.req.conn.socket)
+        self.req.server.discard_input(self.req.conn)
+        self.req.close_connection = False
 
     def _write_response(
         self,
--- a/src/snipecart/program/heads.py
+++ b/src/snipecart/program/heads.py
@@ -13,12 +13,12 @@
 
 from ..core.events import HEAD_TIMED_OUT
 from ..core.events import emit
+from ..core.ids import Instant
 from ..core.task import monotonic
 
 if TYPE_CHECKING:
     from cheroot.server import HTTPConnection
 
-    from ..core.ids import Instant
 
 HEAD_TIMEOUT_SECONDS = 10.0
 """Time from the first byte of a head to its last."""
@@ -29,6 +29,11 @@
 MAX_PARTIAL_HEADS = 2_000
 """Connections that may wait without a complete head; the oldest one makes room."""
 
+DISCARD_SECONDS = 2.0
+"""Time for which the rest of a rejected request is read and discarded."""
+
+MAX_DISCARDED_BYTES = 4 * 1024 * 1024
+
 END_OF_HEAD = b"\r\n\r\n"
 
 TIMEOUT_RESPONSE = (
@@ -44,6 +49,14 @@
     size: int = 0
 
 
+@dataclass
+class DiscardedInput:
+    """Store until when, and how much more, input of a connection is discarded."""
+
+    until: Instant
+    bytes_left: int = MAX_DISCARDED_BYTES
+
+
 class HeadFirstServer(HTTPServer):
     """Wait for complete heads in the server's own thread, which waits on all sockets.
 
@@ -58,6 +71,20 @@
         self._partial: WeakKeyDictionary[HTTPConnection, PartialHead] = (
             WeakKeyDictionary()
         )
+        self._discarding: WeakKeyDictionary[HTTPConnection, DiscardedInput] = (
+            WeakKeyDictionary()
+        )
+
+    def discard_input(self, conn: HTTPConnection) -> None:
+        """Discard what still arrives on a connection that its thread gives back.
+
+        Closing a connection with unread bytes resets it, and the client would not get
+        the answer that was written.
+        """
+        with suppress(OSError):
+            conn.socket.shutdown(socket.SHUT_WR)
+        end = Instant(monotonic() + DISCARD_SECONDS)
+        self._discarding[conn] = DiscardedInput(end)
 
     def process_conn(self, conn: HTTPConnection) -> None:
         """Queue a connection with a complete head for a thread, or wait for the rest.
@@ -65,6 +92,9 @@
         Close it once the client has closed it or was too slow. A thread also gets what
         it has read itself, beyond the end of an earlier request.
         """
+        if conn in self._discarding:
+            self._discard(conn, self._discarding[conn])
+            return
         if conn.rfile.has_data():
             super().process_conn(conn)
             return
@@ -80,6 +110,25 @@
             self._partial.pop(conn, None)
             conn.close()
 
+    def _discard(self, conn: HTTPConnection, discarded: DiscardedInput) -> None:
+        """Discard what has arrived; close a connection that has had its time."""
+        while conn.rfile.has_data():
+            conn.rfile.read1(MAX_HEAD_BYTES)
+        try:
+            piece = conn.socket.recv(MAX_HEAD_BYTES, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            piece = None
+        except OSError:
+            piece = b""
+        if piece:
+            discarded.bytes_left -= len(piece)
+        spent = discarded.bytes_left < 0 or monotonic() > discarded.until
+        if piece == b"" or spent:
+            del self._discarding[conn]
+            conn.close()
+        else:
+            self.put_conn(conn)
+
     def _peek(self, conn: HTTPConnection) -> bytes | None:
         """Return the received bytes without consuming them; None if there are none yet.
 
--- a/tests/gateway/test_body.py
+++ b/tests/gateway/test_body.py
@@ -13,11 +13,15 @@
 from snipecart.core.ids import Instant
 from snipecart.core.task import monotonic
 from snipecart.gateway.body import BodyFraming
+from snipecart.gateway.body import BodySlots
+from snipecart.gateway.body import BodyStream
 from snipecart.gateway.body import read_body
 from snipecart.gateway.memory import MemoryBudget
 from snipecart.gateway.memory import reserving
 from snipecart.gateway.metrics import BODY_BYTES
 
+ONE_SLOT = BodySlots(1)
+
 
 @contextmanager
 def sent_by_client(*pieces, pause=0.0, close=True):
@@ -38,21 +42,24 @@
     thread = threading.Thread(target=send, daemon=True)
     thread.start()
     with reader, writer:
-        yield MakeFile(reader, "rb")
+        stream = MakeFile(reader, "rb")
+        stream.socket = reader
+        yield stream
         reader.shutdown(socket.SHUT_RDWR)
         thread.join(5.0)
 
 
-def framing(length=0, *, chunked=False, max_bytes=1_000_000, seconds=5.0):
-    deadline = Instant(monotonic() + seconds)
-    return BodyFraming(length, chunked, max_bytes, deadline)
+def framing(length=0, *, chunked=False, max_bytes=1_000_000):
+    return BodyFraming(length, chunked, max_bytes)
 
 
-def read(stream, frame, memory=None):
+def read(stream, frame, memory=None, seconds=5.0, slots=ONE_SLOT):
     """Return the body, or the reason why it can't be read."""
     memory = memory or MemoryBudget(1_000_000, BODY_BYTES)
-    with reserving(memory) as reservation:
-        result = read_body(stream, frame, reservation)
+    deadline = Instant(monotonic() + seconds)
+    with reserving(memory) as reservation, slots.waiting() as slot:
+        body_stream = BodyStream(stream, stream.socket, deadline, slot)
+        result = read_body(body_stream, frame, reservation)
     return result.ok if result.is_ok() else result.error.reason
 
 
@@ -136,7 +143,7 @@
 
     def receive():
         with sent_by_client(*[b"x" * 1000] * 100, pause=0.001) as stream:
-            ends.append(read(stream, framing(100_000), memory))
+            ends.append(read(stream, framing(100_000), memory, slots=BodySlots(8)))
 
     threads = [threading.Thread(target=receive) for _ in range(8)]
     for thread in threads:
@@ -155,6 +162,36 @@
     pieces = [b"1\r\nx\r\n" if chunked else b"x"] * 100
     with sent_by_client(*pieces, pause=0.05) as stream:
         begin = time.monotonic()
-        frame = framing(100, chunked=chunked, seconds=0.3)
-        assert read(stream, frame) == "body_too_slow"
+        frame = framing(100, chunked=chunked)
+        assert read(stream, frame, seconds=0.3) == "body_too_slow"
+        assert time.monotonic() - begin < 1.0
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_a_client_that_stops_sending_is_rejected_at_its_deadline(chunked):
+    with sent_by_client(b"5", close=False) as stream:
+        begin = time.monotonic()
+        frame = framing(100, chunked=chunked)
+        assert read(stream, frame, seconds=0.3) == "body_too_slow"
         assert time.monotonic() - begin < 1.0
+
+
+def test_a_size_line_in_pieces_is_rejected_at_its_deadline():
+    with sent_by_client(*[b"0"] * 100, pause=0.05) as stream:
+        begin = time.monotonic()
+        frame = framing(chunked=True)
+        assert read(stream, frame, seconds=0.3) == "body_too_slow"
+        assert time.monotonic() - begin < 1.0
+
+
+def test_bodies_that_have_arrived_need_no_slot_and_others_are_rejected():
+    slots = BodySlots(1)
+    with slots.waiting() as taken:
+        assert taken.take()
+        with sent_by_client(b"x" * 100) as stream:
+            time.sleep(0.05)
+            assert read(stream, framing(100), slots=slots) == b"x" * 100
+        with sent_by_client(b"x" * 50, close=False) as stream:
+            assert read(stream, framing(100), slots=slots) == "body_slots_full"
+    with sent_by_client(b"x" * 50, b"y" * 50, pause=0.1) as stream:
+        assert read(stream, framing(100), slots=slots) == b"x" * 50 + b"y" * 50
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import socket
+import time
+from contextlib import ExitStack
 from contextlib import contextmanager
 from random import Random
 from types import SimpleNamespace
@@ -13,6 +15,7 @@
 from snipecart.core.states import SendOutcome
 from snipecart.gateway.balancing.routes import RouteIndex
 from snipecart.gateway.balancing.task import View
+from snipecart.gateway.body import BodySlots
 from snipecart.gateway.memory import MemoryBudget
 from snipecart.gateway.metrics import ANSWER_BYTES
 from snipecart.gateway.metrics import BODY_BYTES
@@ -30,6 +33,7 @@
 from tests.gateway.world import make_routing
 
 HOST, PORT = "127.64.0.1", 8180
+THREADS = 8
 ROUTING = make_routing(make_route())
 LIMITED = ROUTING.model_copy(
     update={"limits": ROUTING.limits.model_copy(update={"body_bytes": 1000})}
@@ -64,9 +68,10 @@
         balancer,
         MemoryBudget(body_memory, BODY_BYTES),
         MemoryBudget(body_memory, ANSWER_BYTES),
+        BodySlots(THREADS // 2),
         Random(7),
     )
-    with serving_requests(HttpListener(HOST, PORT, 8), ctx):
+    with serving_requests(HttpListener(HOST, PORT, THREADS), ctx):
         yield pipeline
 
 
@@ -131,3 +136,17 @@
         for _ in range(5):
             assert b"200 Fine" in exchange(post(b"x" * 90_000, CLOSE))
     assert len(pipeline.received) == 5
+
+
+def test_clients_that_send_bodies_slowly_leave_threads_for_others():
+    with gateway_server(), ExitStack() as stack:
+        for _ in range(5 * THREADS):
+            sock = stack.enter_context(socket.create_connection((HOST, PORT), 5.0))
+            sock.sendall(post(b"x", length=100))
+        time.sleep(0.3)
+        started_at = time.monotonic()
+        for _ in range(5):
+            assert b"200 Fine" in exchange(post(b"whole", CLOSE))
+        assert time.monotonic() - started_at < 1.0
+        rejected = exchange(post(b"x", CLOSE, length=100))
+    assert rejected.startswith(b"HTTP/1.1 503 ") and b"body_slots_full" in rejected
