Exchange requests with backend servers in one package for both kinds of entry

Cause: the entry process had an exchange of its own on urllib3's pools, with the faults that the gateway's had: a timeout per receive call, unbounded heads and interim answers, and an answer without a call id believed on a kept connection, also as a refusal. An answer over its limit counted as timed out. And a server that answered before it had read a long body, and read on slowly, kept its answer from the client: sending went on.

Ruled out: urllib3's pools with a guard around them. They hand out a connection without saying whether it was used before.

Change: `upstream/` holds connections, idle connections, writing a request and reading an answer; the gateway and the entry process use it and keep what differs (which ids and ends they accept, in `ExpectedAnswer`). The entry process's connections open within 0.5 s, as the gateway's do.

--- a/src/snipecart/gateway/memory.py
+++ b/src/snipecart/core/memory.py
@@ -1,4 +1,4 @@
-"""Bound the memory that the bodies of all requests in progress use together."""
+"""Bound the memory that all requests in progress use together."""
 
 from __future__ import annotations
 
@@ -8,8 +8,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .metrics import ANSWER_BYTES
-
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -17,9 +15,9 @@
 
 
 class MemoryBudget:
-    """Count the bytes in use up to a limit, and show them in a gauge."""
+    """Count the bytes in use up to a limit, and show them in a gauge, if any."""
 
-    def __init__(self, limit: int, gauge: Gauge) -> None:
+    def __init__(self, limit: int, gauge: Gauge | None = None) -> None:
         self._lock = threading.Lock()
         self._limit, self._used = limit, 0
         self._gauge = gauge
@@ -35,14 +33,16 @@
             if self._used + size > self._limit:
                 return False
             self._used += size
-        self._gauge.inc(size)
+        if self._gauge is not None:
+            self._gauge.inc(size)
         return True
 
     def release(self, size: int) -> None:
         """Free reserved bytes."""
         with self._lock:
             self._used -= size
-        self._gauge.dec(size)
+        if self._gauge is not None:
+            self._gauge.dec(size)
 
 
 @dataclass
@@ -67,7 +67,7 @@
 
 def unlimited_reservation() -> MemoryReservation:
     """Return a reservation of a budget without a limit."""
-    return MemoryReservation(MemoryBudget(sys.maxsize, ANSWER_BYTES))
+    return MemoryReservation(MemoryBudget(sys.maxsize))
 
 
 @contextmanager
--- a/src/snipecart/entry/backend.py
+++ b/src/snipecart/entry/backend.py
@@ -2,40 +2,40 @@
 
 from __future__ import annotations
 
-import threading
-from contextlib import contextmanager
+import http.client
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import urllib3
-from urllib3.exceptions import ConnectTimeoutError
 from urllib3.exceptions import HTTPError
-from urllib3.exceptions import NewConnectionError
-from urllib3.exceptions import ReadTimeoutError
 
 from ..core.ids import CallId
 from ..core.ids import EndpointId
 from ..core.ids import Instant
+from ..core.memory import unlimited_reservation
 from ..core.states import DispatchOutcome
 from ..core.task import monotonic
 from ..messages.commands import RecordedAnswer
+from ..upstream.answers import ExpectedAnswer
+from ..upstream.answers import HttpAnswer
+from ..upstream.answers import read_answer
+from ..upstream.connection import Connection
+from ..upstream.connection import connect
+from ..upstream.pool import IdleConnections
+from ..upstream.reader import ReadLimits
+from ..upstream.requests import write_request
 from .metrics import DISPATCHES
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
     from .call import ResolvedCall
 
-CONNECT_TIMEOUT_SECONDS = 1.0
-"""Timeout of opening a connection."""
-
-READ_SIZE = 65_536
+MAX_HEAD_BYTES = 65_536
+"""Maximum size of an answer's head and of the interim answers before it."""
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
-"""Maximum size of an answer's body; a larger answer counts as timed out."""
+"""Maximum size of an answer; a larger one counts as broken."""
 
-MAX_IDLE_CONNECTIONS = 64
-"""Idle connections kept per backend server."""
+CANCEL_TIMEOUT_SECONDS = 1.0
+"""Time for which the answer to a cancellation is waited for."""
 
 NO_LOAD_REPORT = -1.0
 """Load if the backend server reported none."""
@@ -48,6 +48,8 @@
 
 EMPTY_ANSWER = RecordedAnswer(0, "", b"")
 
+CONNECTION_ERRORS = (http.client.HTTPException, HTTPError, OSError, ValueError)
+
 
 @dataclass(frozen=True)
 class DispatchResult:
@@ -62,23 +64,22 @@
     """Load that the backend server reported; below 0 if it reported none."""
 
 
-class UnusableAnswer(Exception):
-    """Report an answer whose end is unknown, or one to another call."""
-
-
 class BackendClient:
     """Store idle connections to backend servers and dispatch calls over them."""
 
     def __init__(self, source_host: str) -> None:
-        self._source_address = (source_host, 0)
-        self._pools: dict[EndpointId, urllib3.HTTPConnectionPool] = {}
-        self._lock = threading.Lock()
+        self._source_host = source_host
+        self._idle = IdleConnections()
 
     def dispatch(
         self, call: ResolvedCall, endpoint: EndpointId, timeout: float
     ) -> DispatchResult:
-        """Send a call over a pooled connection and read its complete answer."""
-        return self._dispatch(self._pool(endpoint), call, timeout)
+        """Send a call over a kept connection and read its complete answer."""
+        started_at = monotonic()
+        conn = self._idle.take(endpoint, call.req.call_id)
+        if conn is None:
+            conn = self._connect(endpoint, timeout)
+        return self._dispatch(conn, call, endpoint, started_at, timeout)
 
     def dispatch_on_new_connection(
         self, call: ResolvedCall, endpoint: EndpointId, timeout: float
@@ -88,129 +89,125 @@
         On a reused connection, a close by the peer can't be distinguished from a lost
         answer.
         """
-        with self._single_use_pool(endpoint) as pool:
-            return self._dispatch(pool, call, timeout)
+        started_at = monotonic()
+        conn = self._connect(endpoint, timeout)
+        return self._dispatch(conn, call, endpoint, started_at, timeout)
 
     def cancel(self, endpoint: EndpointId, call_id: CallId) -> None:
         """Ask a backend server to cancel a call; ignore failures."""
+        conn = self._connect(endpoint, CANCEL_TIMEOUT_SECONDS)
+        if conn is None:
+            return
+        limits = _make_limits(Instant(monotonic() + CANCEL_TIMEOUT_SECONDS))
         try:
-            self._pool(endpoint).request(
-                "DELETE",
-                f"/calls/{call_id}",
-                timeout=CONNECT_TIMEOUT_SECONDS,
-                retries=False,
-            )
-        except HTTPError:
+            write_request(conn, "DELETE", f"/calls/{call_id}", (), b"", limits)
+            read_answer(conn, ExpectedAnswer("DELETE", call_id, CALL_HEADER), limits)
+        except CONNECTION_ERRORS:
             return
+        finally:
+            conn.close()
 
     def close(self) -> None:
         """Close all idle connections."""
-        for pool in self._pools.values():
-            pool.close()
+        self._idle.close()
 
     def close_unserved(self, served_endpoints: set[EndpointId]) -> None:
         """Close the idle connections to endpoints not in ``served_endpoints``."""
-        with self._lock:
-            for endpoint in set(self._pools) - served_endpoints:
-                self._pools.pop(endpoint).close()
+        self._idle.close_except(served_endpoints)
 
-    def _pool(self, endpoint: EndpointId) -> urllib3.HTTPConnectionPool:
-        with self._lock:
-            if endpoint not in self._pools:
-                self._pools[endpoint] = self._make_pool(endpoint, MAX_IDLE_CONNECTIONS)
-            return self._pools[endpoint]
-
-    def _make_pool(self, endpoint: EndpointId, size: int) -> urllib3.HTTPConnectionPool:
+    def _connect(self, endpoint: EndpointId, timeout: float) -> Connection | None:
         host, _, port = endpoint.rpartition(":")
-        return urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=size, source_address=self._source_address
-        )
-
-    @contextmanager
-    def _single_use_pool(
-        self, endpoint: EndpointId
-    ) -> Iterator[urllib3.HTTPConnectionPool]:
-        pool = self._make_pool(endpoint, 1)
-        try:
-            yield pool
-        finally:
-            pool.close()
+        return connect(host, int(port), self._source_host, timeout)
 
     def _dispatch(
-        self, pool: urllib3.HTTPConnectionPool, call: ResolvedCall, timeout: float
+        self,
+        conn: Connection | None,
+        call: ResolvedCall,
+        endpoint: EndpointId,
+        started_at: Instant,
+        timeout: float,
     ) -> DispatchResult:
-        started_at = monotonic()
-        read_deadline = Instant(started_at + timeout)
         load = NO_LOAD_REPORT
         answer = EMPTY_ANSWER
-        try:
-            response = self._request(pool, call, timeout)
-            load = _parse_load(response)
-            answer = _read_answer(response, call, read_deadline)
-            is_shed = answer.status == 503 and NOT_RUN_HEADER in response.headers
-            end = DispatchOutcome.SHED if is_shed else DispatchOutcome.ANSWERED
-        except (NewConnectionError, ConnectTimeoutError):
+        if conn is None:
             end = DispatchOutcome.NOT_SENT
-        except (ReadTimeoutError, TimeoutError):
-            end = DispatchOutcome.TIMED_OUT
-        except (HTTPError, UnusableAnswer, OSError):
-            end = DispatchOutcome.BROKEN
+        else:
+            try:
+                raw = self._exchange(
+                    conn, call, endpoint, Instant(started_at + timeout)
+                )
+                load = _parse_load(raw)
+                answer = _make_recorded_answer(raw)
+                end = DispatchOutcome.ANSWERED
+                if _header(raw, NOT_RUN_HEADER) is not None and answer.status == 503:
+                    end = DispatchOutcome.SHED
+            except TimeoutError:
+                end = DispatchOutcome.TIMED_OUT
+            except CONNECTION_ERRORS:
+                end = DispatchOutcome.BROKEN
         DISPATCHES.labels(end).inc()
         return DispatchResult(end, answer, monotonic() - started_at, load)
 
-    def _request(
-        self, pool: urllib3.HTTPConnectionPool, call: ResolvedCall, timeout: float
-    ) -> urllib3.BaseHTTPResponse:
-        headers = {
-            CALL_HEADER: call.req.call_id,
-            DEADLINE_HEADER: str(int(max(0.0, call.remaining()) * 1000)),
-            "Content-Type": call.req.content_type,
-        }
-        if call.req.key:
-            headers[KEY_HEADER] = call.req.key
-        return pool.urlopen(
+    def _exchange(
+        self,
+        conn: Connection,
+        call: ResolvedCall,
+        endpoint: EndpointId,
+        deadline: Instant,
+    ) -> HttpAnswer:
+        """Return the complete answer, and keep or close the connection."""
+        limits = _make_limits(deadline)
+        expected = ExpectedAnswer(
             "POST",
-            f"/{call.req.kind}",
-            body=call.req.body,
-            headers=headers,
-            retries=False,
-            redirect=False,
-            preload_content=False,
-            timeout=urllib3.Timeout(
-                connect=min(timeout, CONNECT_TIMEOUT_SECONDS), read=max(timeout, 0.001)
-            ),
+            call.req.call_id,
+            CALL_HEADER,
+            success_needs_id=False,
+            may_end_with_close=False,
         )
+        target, headers, body = f"/{call.req.kind}", _make_headers(call), call.req.body
+        idle_seconds = 0.0
+        try:
+            complete = write_request(conn, "POST", target, headers, body, limits)
+            answer, idle_seconds = read_answer(conn, expected, limits, complete)
+            if not complete:
+                idle_seconds = 0.0
+            return answer
+        finally:
+            if idle_seconds > 0:
+                self._idle.put(endpoint, conn, idle_seconds)
+            else:
+                conn.close()
+
+
+def _make_limits(deadline: Instant) -> ReadLimits:
+    return ReadLimits(
+        deadline, MAX_HEAD_BYTES, MAX_ANSWER_BYTES, unlimited_reservation()
+    )
+
 
+def _make_headers(call: ResolvedCall) -> tuple[tuple[str, str], ...]:
+    milliseconds = int(max(0.0, call.remaining()) * 1000)
+    headers = (
+        (CALL_HEADER, call.req.call_id),
+        (DEADLINE_HEADER, str(milliseconds)),
+        ("Content-Type", call.req.content_type),
+    )
+    return (*headers, (KEY_HEADER, call.req.key)) if call.req.key else headers
 
-def _parse_load(response: urllib3.BaseHTTPResponse) -> float:
+
+def _make_recorded_answer(answer: HttpAnswer) -> RecordedAnswer:
+    content_type = _header(answer, "Content-Type") or "application/octet-stream"
+    return RecordedAnswer(answer.status, content_type, answer.body)
+
+
+def _header(answer: HttpAnswer, name: str) -> str | None:
+    """Return the value of a header; None if the answer has none."""
+    values = [value for key, value in answer.headers if key.lower() == name.lower()]
+    return values[0] if values else None
+
+
+def _parse_load(answer: HttpAnswer) -> float:
     try:
-        return float(response.headers.get(LOAD_HEADER, NO_LOAD_REPORT))
+        return float(_header(answer, LOAD_HEADER) or NO_LOAD_REPORT)
     except ValueError:
         return NO_LOAD_REPORT
-
-
-def _read_answer(
-    response: urllib3.BaseHTTPResponse, call: ResolvedCall, read_deadline: Instant
-) -> RecordedAnswer:
-    """Read an answer to its end.
-
-    Raise UnusableAnswer if it belongs to another call or its end is unknown, and
-    TimeoutError if it is too large or incomplete at the deadline.
-    """
-    if response.headers.get(CALL_HEADER, call.req.call_id) != call.req.call_id:
-        response.close()
-        raise UnusableAnswer("answer belongs to another call")
-    has_length = "Content-Length" in response.headers
-    is_chunked = "chunked" in response.headers.get("Transfer-Encoding", "")
-    if not has_length and not is_chunked and response.status not in (204, 304):
-        response.close()
-        raise UnusableAnswer("answer has no length")
-    body = bytearray()
-    while chunk := response.read1(READ_SIZE):
-        body += chunk
-        if len(body) > MAX_ANSWER_BYTES or monotonic() > read_deadline:
-            response.close()
-            raise TimeoutError
-    response.release_conn()
-    content_type = response.headers.get("Content-Type", "application/octet-stream")
-    return RecordedAnswer(response.status, content_type, bytes(body))
--- a/src/snipecart/gateway/body.py
+++ b/src/snipecart/gateway/body.py
@@ -31,8 +31,8 @@
     from collections.abc import Iterator
 
     from ..core.ids import Instant
-    from .memory import MemoryBudget
-    from .memory import MemoryReservation
+    from ..core.memory import MemoryBudget
+    from ..core.memory import MemoryReservation
 
 PIECE_BYTES = 65_536
 """Bytes of a body that are read at once."""
--- a/src/snipecart/gateway/factory.py
+++ b/src/snipecart/gateway/factory.py
@@ -11,6 +11,7 @@
 
 from ..core.ids import EndpointId
 from ..core.ids import MemberId
+from ..core.memory import MemoryBudget
 from ..core.states import DrainState
 from ..core.states import MemberState
 from ..core.task import monotonic
@@ -25,7 +26,6 @@
 from .balancing.state import Locality
 from .balancing.task import BalancerTask
 from .body import BodySlots
-from .memory import MemoryBudget
 from .metrics import ANSWER_BYTES
 from .metrics import BODY_BYTES
 from .pipeline import GatewayContext
--- a/src/snipecart/gateway/request.py
+++ b/src/snipecart/gateway/request.py
@@ -9,9 +9,9 @@
 from typing import TYPE_CHECKING
 
 from ..core.ids import Instant
+from ..core.memory import MemoryReservation
+from ..core.memory import unlimited_reservation
 from ..core.task import monotonic
-from .memory import MemoryReservation
-from .memory import unlimited_reservation
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,10 +24,10 @@
     from ..core.ids import ServiceName
     from ..core.states import SendOutcome
     from ..text.routing import Route
+    from ..upstream.answers import HttpAnswer
+    from ..upstream.headers import Pairs
     from .load_report import LoadReport
 
-Headers = tuple[tuple[str, str], ...]
-
 
 @dataclass(frozen=True)
 class HeaderNames:
@@ -79,7 +79,7 @@
     target: str
     """Path and query string, not decoded."""
     host: str
-    headers: Headers
+    headers: Pairs
     """End-to-end headers; hop-by-hop headers are removed."""
     body: bytes
     request_id: RequestId
@@ -144,16 +144,6 @@
     """Instant after which the answer is overdue."""
 
 
-@dataclass(frozen=True)
-class HttpAnswer:
-    """Store a complete answer of a backend server."""
-
-    status: int
-    reason: str
-    headers: Headers
-    body: bytes
-
-
 @dataclass(frozen=True)
 class SendResult:
     """Store the result of sending a request to one backend server."""
--- a/src/snipecart/gateway/server.py
+++ b/src/snipecart/gateway/server.py
@@ -26,6 +26,9 @@
 from ..core.ids import Instant
 from ..core.ids import ObjectKey
 from ..core.ids import RequestId
+from ..core.memory import MemoryBudget
+from ..core.memory import MemoryReservation
+from ..core.memory import reserving
 from ..core.states import DrainState
 from ..core.task import monotonic
 from ..program.answers import HTTP_STATUS
@@ -34,14 +37,11 @@
 from ..program.answers import to_json
 from ..program.http import make_http_server
 from ..program.http import running_server
+from ..upstream.headers import end_to_end
 from .body import BodyFraming
 from .body import BodySlots
 from .body import BodyStream
 from .body import read_body
-from .headers import end_to_end
-from .memory import MemoryBudget
-from .memory import MemoryReservation
-from .memory import reserving
 from .metrics import REFUSALS
 from .metrics import REQUEST_SECONDS
 from .metrics import REQUESTS
--- /dev/null
+++ b/src/snipecart/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange HTTP requests and answers with backend servers."""
--- a/src/snipecart/gateway/answers.py
+++ b/src/snipecart/upstream/answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+from dataclasses import dataclass
 from email.errors import FirstHeaderLineIsContinuationDefect
 from email.errors import MalformedHeaderDefect
 from email.errors import MissingHeaderBodySeparatorDefect
@@ -11,14 +12,13 @@
 from ..core.failures import AnswerMalformed
 from ..core.failures import AnswerNotOwn
 from ..core.failures import AnswerTooLarge
+from .headers import Pairs
 from .headers import end_to_end
 from .reader import AnswerRejected
-from .request import HttpAnswer
 
 if TYPE_CHECKING:
     from .connection import Connection
     from .reader import ReadLimits
-    from .request import HttpRequest
 
 DEFAULT_IDLE_SECONDS = 4.0
 """Time an idle connection is kept if the backend server states no timeout."""
@@ -36,12 +36,37 @@
 )
 
 
+@dataclass(frozen=True)
+class HttpAnswer:
+    """Store a complete answer of a backend server."""
+
+    status: int
+    reason: str
+    headers: Pairs
+    """End-to-end headers."""
+    body: bytes
+
+
+@dataclass(frozen=True)
+class ExpectedAnswer:
+    """Describe the answer that a request waits for."""
+
+    method: str
+    """Method of the request."""
+    request_id: str
+    id_header: str
+    """Header in which the backend server returns the id of the request."""
+    success_needs_id: bool = True
+    """Whether a success without an id is never believed."""
+    may_end_with_close: bool = True
+    """Whether an answer without length is complete at an orderly close."""
+
+
 def read_answer(
     conn: Connection,
-    req: HttpRequest,
-    id_header: str,
+    expected: ExpectedAnswer,
     limits: ReadLimits,
-    request_complete: bool,
+    request_complete: bool = True,
 ) -> tuple[HttpAnswer, float]:
     """Return the complete answer and the seconds the connection may stay idle.
 
@@ -53,9 +78,9 @@
     raw = http.client.HTTPConnection.getresponse(conn.http)
     foreign = 0
     while True:
-        body = _read_body(conn, raw, limits)
+        body = _read_body(conn, raw, expected, limits)
         first = not (conn.reused or foreign)
-        if raw.status >= http.client.OK and _is_own(raw, req, id_header, first):
+        if raw.status >= http.client.OK and _is_own(raw, expected, first):
             answer = HttpAnswer(
                 raw.status, raw.reason, end_to_end(raw.getheaders()), body
             )
@@ -64,29 +89,36 @@
         if foreign > MAX_FOREIGN_ANSWERS * request_complete:
             raise AnswerRejected(AnswerNotOwn())
         conn.sock.reader.start_answer(limits)
-        raw = http.client.HTTPResponse(conn.sock, method=req.method)
+        raw = http.client.HTTPResponse(conn.sock, method=expected.method)
         raw.begin()
 
 
 def _is_own(
-    raw: http.client.HTTPResponse, req: HttpRequest, id_header: str, first: bool
+    raw: http.client.HTTPResponse, expected: ExpectedAnswer, first: bool
 ) -> bool:
     """Return whether an answer belongs to the request.
 
     An answer without an ID may repeat the answer to an earlier request, unless it is
     the first on its connection.
     """
-    returned_id = raw.getheader(id_header)
-    if returned_id is None:
-        return first and raw.status >= http.client.MULTIPLE_CHOICES
-    return returned_id == req.request_id
+    returned_id = raw.getheader(expected.id_header)
+    if returned_id is not None:
+        return returned_id == expected.request_id
+    is_success = raw.status < http.client.MULTIPLE_CHOICES
+    return first and not (is_success and expected.success_needs_id)
 
 
 def _read_body(
-    conn: Connection, raw: http.client.HTTPResponse, limits: ReadLimits
+    conn: Connection,
+    raw: http.client.HTTPResponse,
+    expected: ExpectedAnswer,
+    limits: ReadLimits,
 ) -> bytes:
     conn.sock.reader.end_head()
     _check_head(raw)
+    ends_with_close = raw.length is None and not raw.chunked
+    if ends_with_close and not expected.may_end_with_close:
+        raise AnswerRejected(AnswerMalformed("no length"))
     if raw.length is not None and raw.length > limits.body_bytes:
         raise AnswerRejected(AnswerTooLarge(f"{raw.length} bytes"))
     return raw.read()
--- a/src/snipecart/gateway/connection.py
+++ b/src/snipecart/upstream/connection.py
@@ -14,12 +14,10 @@
 
 from ..core.ids import Instant
 from ..wire.frames import keep_alive_options
-from .metrics import CONNECTIONS
 from .reader import KeepAliveSocket
 
 if TYPE_CHECKING:
     from ..core.ids import RequestId
-    from .request import Destination
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Timeout of opening a connection."""
@@ -57,13 +55,13 @@
 
 
 def connect(
-    destination: Destination, source_host: str, remaining: float
+    host: str, port: int, source_host: str, timeout: float
 ) -> Connection | None:
     """Return a new connection; None if none was established in time."""
     http_conn = HTTPConnection(
-        destination.host,
-        destination.port,
-        timeout=max(0.001, min(remaining, CONNECT_TIMEOUT_SECONDS)),
+        host,
+        port,
+        timeout=max(0.001, min(timeout, CONNECT_TIMEOUT_SECONDS)),
         source_address=(source_host, 0),
         socket_options=[
             (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -75,5 +73,4 @@
     except (NewConnectionError, ConnectTimeoutError, OSError):
         http_conn.close()
         return None
-    CONNECTIONS.inc()
     return Connection(http_conn, KeepAliveSocket(http_conn.sock))
--- /dev/null
+++ b/src/snipecart/upstream/pool.py
@@ -0,0 +1,69 @@
+"""Keep idle connections to backend servers for the next requests."""
+
+from __future__ import annotations
+
+import threading
+from collections import deque
+from typing import TYPE_CHECKING
+
+from ..core.ids import Instant
+from ..core.task import monotonic
+
+if TYPE_CHECKING:
+    from ..core.ids import EndpointId
+    from .connection import Connection
+
+MAX_IDLE_CONNECTIONS = 48
+"""Idle connections kept per backend server."""
+
+
+class IdleConnections:
+    """Store idle connections by endpoint, for threads to take and return."""
+
+    def __init__(self) -> None:
+        self._idle: dict[EndpointId, deque[Connection]] = {}
+        self._lock = threading.Lock()
+
+    def take(self, endpoint: EndpointId, request_id: str) -> Connection | None:
+        """Return an idle connection; None if there is none.
+
+        A connection on which the same request was rejected isn't used for it again: a
+        second copy of that answer couldn't be told from the next one.
+        """
+        now = monotonic()
+        while True:
+            with self._lock:
+                idle = self._idle.get(endpoint)
+                conn = idle.pop() if idle else None
+            if conn is None:
+                return None
+            if (
+                now < conn.usable_until
+                and request_id not in conn.rejected
+                and not conn.has_unread_input()
+            ):
+                return conn
+            conn.close()
+
+    def put(self, endpoint: EndpointId, conn: Connection, seconds: float) -> None:
+        """Keep a connection for a number of seconds; close the oldest of too many."""
+        conn.reused = True
+        conn.usable_until = Instant(monotonic() + seconds)
+        with self._lock:
+            idle = self._idle.setdefault(endpoint, deque())
+            idle.append(conn)
+            evicted = idle.popleft() if len(idle) > MAX_IDLE_CONNECTIONS else None
+        if evicted is not None:
+            evicted.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self.close_except(set())
+
+    def close_except(self, endpoints: set[EndpointId]) -> None:
+        """Close the idle connections to all endpoints but these."""
+        with self._lock:
+            removed = [self._idle.pop(key) for key in set(self._idle) - endpoints]
+        for idle in removed:
+            for conn in idle:
+                conn.close()
--- a/src/snipecart/gateway/reader.py
+++ b/src/snipecart/upstream/reader.py
@@ -16,7 +16,7 @@
 
     from ..core.failures import Failure
     from ..core.ids import Instant
-    from .memory import MemoryReservation
+    from ..core.memory import MemoryReservation
 
 RECEIVE_SIZE = 65_536
 
--- a/tests/gateway/simulation.py
+++ b/tests/gateway/simulation.py
@@ -13,8 +13,8 @@
 from snipecart.core.states import SendOutcome
 from snipecart.gateway.balancing.outcome import record_send
 from snipecart.gateway.load_report import LoadReport
-from snipecart.gateway.request import HttpAnswer
 from snipecart.gateway.request import SendResult
+from snipecart.upstream.answers import HttpAnswer
 from tests.gateway.world import Gateway
 from tests.gateway.world import make_instance
 from tests.gateway.world import make_route
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import threading
 import time
 
@@ -16,10 +17,10 @@
 from snipecart.gateway.request import HeaderNames
 from snipecart.gateway.request import HttpRequest
 from snipecart.gateway.request import RoutedRequest
+from tests.upstream.scripted import CLOSE
+from tests.upstream.scripted import RESET
+from tests.upstream.scripted import scripted_server
 
-from .scripted import CLOSE
-from .scripted import RESET
-from .scripted import scripted_server
 from .world import make_route
 from .world import make_routing
 
@@ -184,6 +185,25 @@
         assert server.connections == 2
 
 
+def test_an_answer_is_returned_while_the_body_is_read_slowly():
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def serve():
+        conn, _ = listener.accept()
+        conn.recv(65536)
+        conn.sendall(answer())
+        while conn.recv(65536):
+            time.sleep(0.02)
+
+    threading.Thread(target=serve, daemon=True).start()
+    routed = make_routed(seconds=5.0, method="POST", body=b"b" * 40_000_000)
+    destination = Destination("racks", "i-1", *listener.getsockname(), 0)
+    started_at = time.monotonic()
+    result = BackendConnectionPool("127.0.0.1", NAMES).send(routed, destination)
+    assert result.answer.body == b"whole"
+    assert time.monotonic() - started_at < 2.0
+
+
 def test_a_long_body_arrives_whole_and_its_connection_is_kept():
     backends = BackendConnectionPool("127.0.0.1", NAMES)
     body = bytes(range(256)) * 20_000
--- a/tests/gateway/test_body.py
+++ b/tests/gateway/test_body.py
@@ -11,13 +11,13 @@
 from cheroot.makefile import MakeFile
 
 from snipecart.core.ids import Instant
+from snipecart.core.memory import MemoryBudget
+from snipecart.core.memory import reserving
 from snipecart.core.task import monotonic
 from snipecart.gateway.body import BodyFraming
 from snipecart.gateway.body import BodySlots
 from snipecart.gateway.body import BodyStream
 from snipecart.gateway.body import read_body
-from snipecart.gateway.memory import MemoryBudget
-from snipecart.gateway.memory import reserving
 from snipecart.gateway.metrics import BODY_BYTES
 
 ONE_SLOT = BodySlots(1)
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -11,15 +11,15 @@
 from snipecart.core.failures import AnswerMemoryFull
 from snipecart.core.failures import AnswerNotOwn
 from snipecart.core.failures import AnswerTooLarge
+from snipecart.core.memory import MemoryBudget
+from snipecart.core.memory import MemoryReservation
 from snipecart.core.states import SendOutcome
 from snipecart.gateway.backends import AnswerLimits
 from snipecart.gateway.backends import BackendConnectionPool
-from snipecart.gateway.memory import MemoryBudget
-from snipecart.gateway.memory import MemoryReservation
 from snipecart.gateway.metrics import ANSWER_BYTES
+from tests.upstream.scripted import CLOSE
+from tests.upstream.scripted import scripted_server
 
-from .scripted import CLOSE
-from .scripted import scripted_server
 from .test_backends import NAMES
 from .test_backends import OWN
 from .test_backends import answer
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -12,21 +12,21 @@
 import pytest
 from expression import Ok
 
+from snipecart.core.memory import MemoryBudget
 from snipecart.core.states import SendOutcome
 from snipecart.gateway.balancing.routes import RouteIndex
 from snipecart.gateway.balancing.task import View
 from snipecart.gateway.body import BodySlots
-from snipecart.gateway.memory import MemoryBudget
 from snipecart.gateway.metrics import ANSWER_BYTES
 from snipecart.gateway.metrics import BODY_BYTES
 from snipecart.gateway.request import AnsweredRequest
 from snipecart.gateway.request import Attempt
 from snipecart.gateway.request import HeaderNames
-from snipecart.gateway.request import HttpAnswer
 from snipecart.gateway.server import RequestContext
 from snipecart.gateway.server import serving_requests
 from snipecart.gateway.watch import WatchTask
 from snipecart.program.listener import HttpListener
+from snipecart.upstream.answers import HttpAnswer
 from tests.gateway.world import Gateway
 from tests.gateway.world import make_instance
 from tests.gateway.world import make_route
--- a/tests/gateway/scripted.py
+++ b/tests/upstream/scripted.py
@@ -30,6 +30,7 @@
     requests: list[bytes] = field(default_factory=list)
     connections: int = 0
     reads_bodies: bool = True
+    stopped: threading.Event = field(default_factory=threading.Event)
 
 
 def _read_request(conn: socket.socket, reads_body: bool) -> bytes:
@@ -70,6 +71,9 @@
                     conn.sendall(piece)
                 except OSError:
                     return
+            if b"content-length: " in request.lower() and not server.reads_bodies:
+                server.stopped.wait()
+                return
 
 
 @contextmanager
@@ -94,5 +98,6 @@
     try:
         yield server
     finally:
+        server.stopped.set()
         listener.shutdown(socket.SHUT_RDWR)
         listener.close()
