Gossip heartbeats that change nothing in short form, and encode gossip once

Cause: each heartbeat went whole to every other control process, 176 bytes and some 54 us to decode, and was encoded again for each of them.

Ruled out: forwarding changes only. Silence is how a process learns that a server is gone. Updating the stored sequence number from a short heartbeat: a process that missed a change would then show its older state as the latest one, and a gateway would use a draining server.

Change: a heartbeat without a change is forwarded as id, start and sequence number, and whole each 6 s. A process that starts again, or comes back into contact, gets heartbeats whole until it has settled, as its list must be complete by then. A broadcast is encoded once.

Tests: short and whole forms over time, what a short one keeps alive and what not, whole forms after a start.

--- a/src/snipecart/control/discovery/table.py
+++ b/src/snipecart/control/discovery/table.py
@@ -20,6 +20,7 @@
     from collections.abc import Iterator
 
     from ...messages.discovery import Instance
+    from ...messages.discovery import Repeated
 
 SILENCE_TIMEOUT = 8.0
 """Seconds without a heartbeat after which an instance counts as gone."""
@@ -75,6 +76,8 @@
     cold_until: Instant
     last_heartbeat_at: Instant
     revision: int
+    forwarded_at: Instant = Instant(-1e9)
+    """When this process last forwarded the whole instance to the others."""
 
 
 @dataclass
@@ -125,6 +128,16 @@
             UpdateVerdict.NEWS, received, (*replaced, Change(received, gone=False))
         )
 
+    def touch(self, repeated: Repeated, now: Instant) -> None:
+        """Record that an instance is alive, if this table has that run of it.
+
+        The stored sequence number stays that of the stored state: a gateway must not
+        take an old state for a later one.
+        """
+        current = self.live.get(repeated.instance)
+        if current is not None and current.instance.born == repeated.born:
+            current.last_heartbeat_at = now
+
     def expire(self, now: Instant) -> list[Change]:
         """Remove silent instances and expired tombstones."""
         silent = [
--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -29,6 +29,7 @@
 from ...messages.discovery import Heard
 from ...messages.discovery import InstanceChanged
 from ...messages.discovery import InstanceSeen
+from ...messages.discovery import Repeated
 from ...messages.discovery import RoutingChanged
 from ...messages.discovery import SyncAnswer
 from ...messages.discovery import SyncRequest
@@ -52,6 +53,13 @@
 GOSSIP_INTERVAL = 0.3
 """Seconds between two gossip messages to the other control processes."""
 
+FULL_GOSSIP_INTERVAL = 6.0
+"""Seconds between two whole copies of an unchanged instance in gossip.
+
+Shorter than SILENCE_TIMEOUT, so that a process that missed one learns of the instance
+before it would count as gone.
+"""
+
 EXPIRY_INTERVAL = 1.0
 """Seconds between two removals of silent instances."""
 
@@ -148,6 +156,9 @@
         """Latest run id of each other control process."""
         self.unconfirmed: list[UnconfirmedUpdate] = []
         self.gossip_updates: list[Heard] = []
+        self.gossip_repeated: list[Repeated] = []
+        self.full_gossip_until = Instant(-1e9)
+        """Until when heartbeats are forwarded whole, as a process lacks instances."""
         self.full_lists = ListBudget()
         self.lookup_index = LookupIndex()
         """Gateways that lookups may return; replaced as a whole, read by any thread."""
@@ -179,10 +190,60 @@
             self._expire(now)
         if now >= self._gossip_due:
             self._gossip_due = Instant(now + GOSSIP_INTERVAL)
-            self.broadcast(Gossip(self.vm, tuple(self.gossip_updates), self.run_id))
-            self.gossip_updates.clear()
+            self._send_gossip()
         self._update_lookup_index(now)
 
+    def forward(self, update: InstanceUpdate, repeated: bool, now: Instant) -> None:
+        """Add a heartbeat or departure to the next gossip.
+
+        One that brings no change is forwarded in short form, and as a whole each
+        FULL_GOSSIP_INTERVAL.
+        """
+        instance = update.instance
+        live = self.instances.live.get(instance.instance)
+        if live is not None and repeated and not update.gone:
+            due = live.forwarded_at + FULL_GOSSIP_INTERVAL
+            if now < due and now >= self.full_gossip_until:
+                self.gossip_repeated.append(
+                    Repeated(instance.instance, instance.born, instance.sequence)
+                )
+                return
+        if live is not None:
+            live.forwarded_at = now
+        self.gossip_updates.append(Heard(instance, update.gone))
+
+    def _send_gossip(self) -> None:
+        self.broadcast(
+            Gossip(
+                self.vm,
+                tuple(self.gossip_updates),
+                self.run_id,
+                tuple(self.gossip_repeated),
+            )
+        )
+        self.gossip_updates.clear()
+        self.gossip_repeated.clear()
+
+    def record_contact(self, gossip: Gossip, now: Instant) -> None:
+        """Record contact with another process, and help one that lacks instances.
+
+        A process that has started again, or that comes back into contact, is told which
+        instances leave or have left. It would otherwise take a late heartbeat of such
+        an instance for that of a new one. Others are forwarded whole until it has
+        settled.
+        """
+        sender = gossip.sender
+        lost = now > self.contacts.get(sender, Instant(-1e9)) + CONTACT_TIMEOUT
+        self.contacts[sender] = now
+        if gossip.run == self.runs.get(sender, "") and not lost:
+            return
+        self.runs[sender] = gossip.run
+        self.full_gossip_until = Instant(now + self.settle_seconds + CONTACT_TIMEOUT)
+        self.gossip_updates += [
+            Heard(change.instance, change.gone)
+            for change in self.instances.departures(now)
+        ]
+
     def peers_in_contact(self, now: Instant) -> set[VmName]:
         """Return the VMs whose gossip arrived within CONTACT_TIMEOUT."""
         return {vm for vm, at in self.contacts.items() if now < at + CONTACT_TIMEOUT}
@@ -313,7 +374,7 @@
     if result.verdict is UpdateVerdict.STALE:
         emit(HEARTBEAT_STALE, instance=update.instance.instance)
     else:
-        task.gossip_updates.append(Heard(update.instance, update.gone))
+        task.forward(update, result.verdict is UpdateVerdict.REPEATED, now)
     waiting = task.push_changes(_urgent_changes(task, result.changes, now), now)
     if not leaving or result.verdict is UpdateVerdict.STALE:
         update.reply(True)
@@ -355,21 +416,13 @@
 
 @HANDLERS.register(Gossip)
 def handle_gossip(task: DiscoveryTask, req: IncomingMessage, now: Instant) -> None:
-    """Record the heartbeats that another control process received and pushed.
-
-    Tell a process that has started again which instances leave or have left. It would
-    otherwise take a late heartbeat of such an instance for that of a new one.
-    """
+    """Record the heartbeats that another control process received and pushed."""
     gossip: Gossip = req.message
-    task.contacts[gossip.sender] = now
-    if gossip.run != task.runs.get(gossip.sender, ""):
-        task.runs[gossip.sender] = gossip.run
-        task.gossip_updates += [
-            Heard(change.instance, change.gone)
-            for change in task.instances.departures(now)
-        ]
+    task.record_contact(gossip, now)
     for item in gossip.heard:
         task.instances.apply_update(item.instance, item.gone, now)
+    for item in gossip.repeated:
+        task.instances.touch(item, now)
 
 
 @HANDLERS.register(CommittedState)
--- a/src/snipecart/control/factory.py
+++ b/src/snipecart/control/factory.py
@@ -22,6 +22,8 @@
 from ..messages.commands import Node
 from ..messages.raft import JoinAnswer
 from ..wire.codec import Envelope
+from ..wire.codec import encode
+from ..wire.links import EncodedMessage
 from ..wire.links import IncomingMessage
 from ..wire.links import Link
 from ..wire.links import Listener
@@ -137,11 +139,12 @@
     def send(self, to: NodeId, message: Any) -> None:
         """Send to the VM of one node, or over all links for ALL_NODES."""
         if to == ALL_NODES:
-            links = list(self._links.values())
-        else:
-            link = self._links.get(VmName(to.partition("/")[0]))
-            links = [link] if link is not None else []
-        for link in links:
+            encoded = EncodedMessage(encode(message))
+            for link in list(self._links.values()):
+                link.post(encoded)
+            return
+        link = self._links.get(VmName(to.partition("/")[0]))
+        if link is not None:
             link.post(Envelope(0, message))
 
     def close(self) -> None:
--- a/src/snipecart/messages/discovery.py
+++ b/src/snipecart/messages/discovery.py
@@ -146,6 +146,15 @@
     gone: bool
 
 
+@record
+class Repeated:
+    """Forward a heartbeat that only shows that a backend server is alive."""
+
+    instance: InstanceId
+    born: UnixMillis
+    sequence: int
+
+
 @message
 class Gossip:
     """Forward all updates since the last gossip to the other control processes.
@@ -157,3 +166,4 @@
     heard: tuple[Heard, ...]
     run: str = ""
     """Id of the sender's run; a new one tells that the sender has started again."""
+    repeated: tuple[Repeated, ...] = ()
--- a/src/snipecart/wire/links.py
+++ b/src/snipecart/wire/links.py
@@ -41,6 +41,13 @@
     reply: Callable[[Any], None]
 
 
+@dataclass(frozen=True)
+class EncodedMessage:
+    """Store a message without correlation, encoded once for several connections."""
+
+    frame: bytes
+
+
 Sink = Callable[[IncomingMessage], None]
 
 
@@ -51,13 +58,12 @@
         super().__init__(name, LINK_MAILBOX_SIZE)
         self._sock = sock
 
-    def handle(self, batch: list[Envelope], now: Instant) -> None:
+    def handle(self, batch: list[Envelope | EncodedMessage], now: Instant) -> None:
         """Send all waiting messages in one write; stop if the connection has failed."""
         if not batch:
             return
         try:
-            frames = [encode(item.message, item.correlation) for item in batch]
-            send_frames(self._sock, frames)
+            send_frames(self._sock, [_frame_of(item) for item in batch])
         except OSError:
             self._stopping.set()
 
@@ -68,6 +74,12 @@
         self._sock.close()
 
 
+def _frame_of(item: Envelope | EncodedMessage) -> bytes:
+    if isinstance(item, EncodedMessage):
+        return item.frame
+    return encode(item.message, item.correlation)
+
+
 def read_messages(
     sock: socket.socket, peer: str, deliver: Callable[[Envelope], None]
 ) -> None:
@@ -163,7 +175,7 @@
         self._writer: Writer | None = None
         self._reconnect_at = Instant(0.0)
 
-    def handle(self, batch: list[Envelope], now: Instant) -> None:
+    def handle(self, batch: list[Envelope | EncodedMessage], now: Instant) -> None:
         """Send messages, connecting first if there is no connection."""
         if self._writer is not None and not self._writer.alive:
             self._writer = None
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -20,6 +20,7 @@
 from snipecart.messages.discovery import Heard
 from snipecart.messages.discovery import InstanceChanged
 from snipecart.messages.discovery import InstanceSeen
+from snipecart.messages.discovery import Repeated
 from snipecart.messages.discovery import SyncRequest
 from snipecart.wire.links import IncomingMessage
 from tests.gateway.world import make_instance
@@ -459,3 +460,69 @@
         control.task.handle([gossip], Instant(50.5 + step / 2))
     departures = [item for message in sent for item in message.heard if item.gone]
     assert len(departures) == 2
+
+
+def heartbeats(control, sent, numbers, now, sequence):
+    """Send a heartbeat of each server, and return the gossip that follows."""
+    sent.clear()
+    for number in numbers:
+        control.send_update(make_instance(number, born=1, sequence=sequence), now)
+    control.receive_gossip(now + 0.4, "c2")
+    return sent[-1]
+
+
+def test_unchanged_heartbeats_are_gossiped_in_short_form_and_sometimes_whole():
+    control = TaskDriver()
+    sent = gossiped_by(control.task)
+    for step in range(6):
+        control.receive_gossip(50.0 + step, "c2")
+    whole, short = [], []
+    for step in range(9):
+        now = Instant(56.0 + 1.5 * step)
+        for at in (0.0, 0.7):
+            control.receive_gossip(now + at, "c2")
+        gossip = heartbeats(control, sent, range(5), Instant(now + 0.8), step + 1)
+        whole.append(len(gossip.heard))
+        short.append(len(gossip.repeated))
+    assert whole == [5, 0, 0, 0, 5, 0, 0, 0, 5]
+    assert short == [0, 5, 5, 5, 0, 5, 5, 5, 0]
+
+
+def test_a_short_heartbeat_keeps_an_instance_alive_but_not_its_older_state():
+    control = TaskDriver()
+    stored = make_instance(1, born=1, sequence=4)
+    control.receive_gossip(50.0, "c2")
+    control.send_update(stored, 50.0)
+    for step in range(30):
+        now = Instant(50.5 + step / 2)
+        repeated = Repeated(stored.instance, 1, 5 + step)
+        control.task.handle(
+            [IncomingMessage(Gossip("c2", (), "", (repeated,)), print)], now
+        )
+    assert control.task.instances.live[stored.instance].instance.sequence == 4
+    other_run = Repeated(stored.instance, 2, 99)
+    for step in range(20):
+        now = Instant(66.0 + step / 2)
+        control.task.handle(
+            [IncomingMessage(Gossip("c2", (), "", (other_run,)), print)], now
+        )
+    assert stored.instance not in control.task.instances.live
+
+
+def test_heartbeats_are_gossiped_whole_to_a_process_that_starts_again():
+    control = TaskDriver()
+    sent = gossiped_by(control.task)
+    for step in range(12):
+        control.receive_gossip(50.0 + step / 2, "c2")
+    assert heartbeats(control, sent, range(5), Instant(56.0), 1).heard
+    assert heartbeats(control, sent, range(5), Instant(56.8), 2).repeated
+    control.task.handle(
+        [IncomingMessage(Gossip("c2", (), "second"), print)], Instant(57.5)
+    )
+    sent.clear()
+    for number in range(5):
+        control.send_update(make_instance(number, born=1, sequence=3), 57.6)
+    control.task.handle(
+        [IncomingMessage(Gossip("c2", (), "second"), print)], Instant(58.1)
+    )
+    assert len(sent[-1].heard) == 5
