Reload a settings file that changes without a signal, and name each changed setting

Cause: settings were read again on SIGHUP only, while the file also changes without one; a process then kept seeds that were gone. What had changed wasn't logged.

Ruled out: modification times, which a rewrite within one tick of a clock may keep.

A reload logs each changed setting with its old and new value and whether it is in force; a malformed file changes nothing. Seeds and, new, a gateway's retry budget change while it runs; budgets keep what they have counted.

--- a/src/snipecart/control/factory.py
+++ b/src/snipecart/control/factory.py
@@ -111,6 +111,10 @@
     return log
 
 
+LIVE_CONTROL_SETTINGS = frozenset({"peers"})
+"""Settings that take effect while a control process runs."""
+
+
 class Links:
     """Manage one link to the VM of each other control process.
 
--- a/src/snipecart/core/events.py
+++ b/src/snipecart/core/events.py
@@ -142,6 +142,7 @@
 SETTINGS_RELOADED = register_event(1008, logbook.NOTICE, "settings reloaded")
 SERVER_ERROR = register_event(1009, logbook.ERROR, "HTTP server reported an error")
 SETTINGS_REFUSED = register_event(1010, logbook.ERROR, "new settings rejected")
+SETTING_CHANGED = register_event(1012, logbook.NOTICE, "setting changed")
 HEAD_TIMED_OUT = register_event(
     1011, logbook.WARNING, "head of a request did not arrive in time"
 )
--- a/src/snipecart/gateway/balancing/task.py
+++ b/src/snipecart/gateway/balancing/task.py
@@ -37,6 +37,7 @@
 if TYPE_CHECKING:
     from ..request import Destination
     from ..request import RoutedRequest
+    from .budget import BudgetRule
     from .routes import RouteIndex
 
 SELECT_TIMEOUT = 1.0
@@ -95,6 +96,13 @@
 NOTHING_APPLIED = SyncPoint("", 0)
 
 
+@dataclass(frozen=True)
+class SetBudgetRule:
+    """Replace the rule of the retry budgets."""
+
+    rule: BudgetRule
+
+
 @dataclass(frozen=True)
 class View:
     """Describe the state for other threads; replaced as a whole, never changed."""
@@ -234,6 +242,16 @@
     )
 
 
+@HANDLERS.register(SetBudgetRule)
+def handle_budget_rule(
+    task: BalancerTask, message: SetBudgetRule, now: Instant
+) -> None:
+    """Apply another rule to the retry budgets, which keep what they have counted."""
+    task.state.budget_rule = message.rule
+    for budget in task.state.budgets.values():
+        budget.rule = message.rule
+
+
 @HANDLERS.register(RecordSend)
 def handle_record_send(task: BalancerTask, message: RecordSend, now: Instant) -> None:
     """Update the state from the end of a send."""
--- a/src/snipecart/gateway/factory.py
+++ b/src/snipecart/gateway/factory.py
@@ -25,6 +25,7 @@
 from .balancing.state import BalancerState
 from .balancing.state import Locality
 from .balancing.task import BalancerTask
+from .balancing.task import SetBudgetRule
 from .body import BodySlots
 from .metrics import ANSWER_BYTES
 from .metrics import BODY_BYTES
@@ -33,6 +34,7 @@
 from .server import RequestContext
 from .server import serving_requests
 from .sync import SetLeaving
+from .sync import SetSeeds
 from .sync import SyncTask
 from .watch import WatchTask
 
@@ -44,6 +46,9 @@
     from ..program.settings import GatewaySettings
     from .request import HeaderNames
 
+LIVE_GATEWAY_SETTINGS = frozenset({"control", "retries"})
+"""Settings that take effect while a gateway runs."""
+
 BYTES_PER_MB = 1_000_000
 
 BODY_THREAD_FRACTION = 0.5
@@ -71,6 +76,16 @@
     watch: WatchTask
     backends: BackendConnectionPool
 
+    def apply_settings(self, cfg: GatewaySettings) -> None:
+        """Pass LIVE_GATEWAY_SETTINGS of newer settings to the tasks."""
+        self.sync.post(SetSeeds(cfg.control))
+        self.balancer.post(SetBudgetRule(make_budget_rule(cfg)))
+
+
+def make_budget_rule(cfg: GatewaySettings) -> BudgetRule:
+    """Return the rule of the retry budgets."""
+    return BudgetRule(cfg.retries.ratio, cfg.retries.window_s, cfg.retries.slack)
+
 
 def make_gateway(cfg: GatewaySettings) -> Gateway:
     """Return the description of this gateway run that control processes receive."""
@@ -86,13 +101,12 @@
 
 def make_balancer_state(cfg: GatewaySettings) -> BalancerState:
     """Return the initial state of the balancer."""
-    rule = BudgetRule(cfg.retries.ratio, cfg.retries.window_s, cfg.retries.slack)
     locality = Locality(cfg.region, cfg.zone, cfg.regions)
     return BalancerState(
         locality,
         choice=cfg.choice,
         wait_rule=cfg.admission,
-        budget_rule=rule,
+        budget_rule=make_budget_rule(cfg),
         link=LinkBudget.from_mbps(cfg.link_mbps),
     )
 
--- a/src/snipecart/platform/__main__.py
+++ b/src/snipecart/platform/__main__.py
@@ -4,18 +4,16 @@
 
 import sys
 from contextlib import contextmanager
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
 
 import click
 
-from ..core.events import SETTINGS_REFUSED
-from ..core.events import emit
 from ..program.http import make_wsgi_server
 from ..program.http import running_server
 from ..program.inspect import make_inspection_app
 from ..program.listener import HttpListener
+from ..program.reload import SettingsReloader
 from ..program.run import EXIT_FAILED
 from ..program.run import EXIT_INVALID_SETTINGS
 from ..program.run import LogFormat
@@ -25,6 +23,7 @@
 from .settings import control_settings
 from .settings import gateway_settings
 from .settings import load_platform_settings
+from .settings import read_settings_file
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -70,28 +69,27 @@
     sys.exit(_run("entry", lambda: _entry(platform, cfg)))
 
 
-@dataclass(frozen=True)
-class SettingsReloader:
-    """Reload the settings file and pass settings that may change to the tasks."""
-
-    translate: Callable[[PlatformSettings], Any]
-    apply_settings: Callable[[Any], Any]
-
-    def reload(self) -> None:
-        """Apply the current settings file; keep the old settings if it is malformed."""
-        settings = load_platform_settings().bind(self.translate)
-        if settings.is_error():
-            emit(SETTINGS_REFUSED, faults=describe_faults(settings.error))
-            return
-        self.apply_settings(settings.ok)
+def _make_reloader(
+    translate: Callable[[PlatformSettings], Any],
+    cfg: Any,
+    live: frozenset[str],
+    apply: Callable[[Any], Any],
+) -> SettingsReloader:
+    return SettingsReloader(
+        read_settings_file,
+        lambda: load_platform_settings().bind(translate),
+        apply,
+        live,
+        cfg,
+    )
 
 
 @contextmanager
 def _entry(platform: PlatformSettings, cfg: Any) -> Iterator[SettingsReloader]:
+    from ..gateway.factory import LIVE_GATEWAY_SETTINGS
     from ..gateway.factory import accepting_requests
     from ..gateway.factory import gateway_tasks
     from ..gateway.pages import gateway_pages
-    from ..gateway.sync import SetSeeds
 
     with (
         gateway_tasks(cfg, names.HEADERS) as tasks,
@@ -99,9 +97,8 @@
         _inspection(platform, gateway_pages(tasks)),
         accepting_requests(cfg, names.HEADERS, tasks),
     ):
-        yield SettingsReloader(
-            gateway_settings,
-            lambda settings: tasks.sync.post(SetSeeds(settings.control)),
+        yield _make_reloader(
+            gateway_settings, cfg, LIVE_GATEWAY_SETTINGS, tasks.apply_settings
         )
 
 
@@ -127,6 +124,7 @@
 @contextmanager
 def _control(platform: PlatformSettings, cfg: Any) -> Iterator[SettingsReloader]:
     from ..control.disk.store import bootstrap_log_if_blank
+    from ..control.factory import LIVE_CONTROL_SETTINGS
     from ..control.factory import control_tasks
     from ..control.factory import initial_voters
     from ..control.inspect import control_pages
@@ -144,7 +142,9 @@
             _serving(platform, "directory", LOOKUP_THREADS, app),
             _inspection(platform, control_pages(tasks.ok)),
         ):
-            yield SettingsReloader(control_settings, tasks.ok.update_seeds)
+            yield _make_reloader(
+                control_settings, cfg, LIVE_CONTROL_SETTINGS, tasks.ok.update_seeds
+            )
 
 
 @contextmanager
--- a/src/snipecart/platform/settings.py
+++ b/src/snipecart/platform/settings.py
@@ -113,6 +113,14 @@
         )
 
 
+def read_settings_file() -> bytes:
+    """Return the content of the settings file; empty if it can't be read."""
+    try:
+        return Path(os.environ.get(SETTINGS_VARIABLE, "")).read_bytes()
+    except OSError:
+        return b""
+
+
 def load_platform_settings() -> Result[PlatformSettings, SettingsInvalid]:
     """Return the settings from the file that SNIPECART_NODE_FILE names."""
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
--- a/src/snipecart/program/run.py
+++ b/src/snipecart/program/run.py
@@ -23,6 +23,7 @@
 from ..core.events import emit
 from ..core.task import ANY_TASK_FAILED
 from .log import logging_json
+from .reload import SettingsReloader
 from .settings import Section
 from .settings import describe_faults
 from .settings import load_settings
@@ -117,11 +118,15 @@
     timer.start()
 
 
-def _reload(name: str, running: Any) -> None:
-    reload = getattr(running, "reload", None)
-    if reload is not None:
-        reload()
-    emit(SETTINGS_RELOADED, program=name, taken=reload is not None)
+def _reload_if_due(name: str, running: Any, signalled: threading.Event) -> None:
+    """Reload the settings after a signal, or if their file has changed without one."""
+    reloader = running if isinstance(running, SettingsReloader) else None
+    if not signalled.is_set() and not (reloader and reloader.has_changed()):
+        return
+    signalled.clear()
+    if reloader is not None:
+        reloader.reload()
+    emit(SETTINGS_RELOADED, program=name, taken=reloader is not None)
 
 
 def run_until_stopped(
@@ -133,7 +138,8 @@
     """Run a program until a signal or a failed task stops it; return its exit status.
 
     ``body`` is a context manager that runs the program and may drain when it exits.
-    On SIGHUP, the ``reload`` method of the object that it yields is called, if any.
+    If it yields a SettingsReloader, settings are reloaded on SIGHUP and when their file
+    has changed.
     """
     sys.setswitchinterval(SWITCH_INTERVAL)
     logging = logging_json if log_format is LogFormat.JSON else logging_to_stderr
@@ -144,9 +150,7 @@
                 not events.stop.wait(FAILURE_POLL_INTERVAL)
                 and not ANY_TASK_FAILED.is_set()
             ):
-                if events.reload.is_set():
-                    events.reload.clear()
-                    _reload(name, running)
+                _reload_if_due(name, running, events.reload)
             emit(PROGRAM_STOPPING, program=name)
             _force_exit_after(STOP_TIMEOUT, name)
         emit(PROGRAM_STOPPED, program=name)
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -278,3 +278,23 @@
     answer_text = where_output.output
     server = fleet.request("entry-1").headers["Server-Signature"].partition(".")[0]
     assert answer_text.splitlines()[0].endswith(server)
+
+
+def test_a_settings_file_that_changes_without_a_signal_is_reloaded(fleet):
+    path = fleet.folder / "entry-1.toml"
+    original = path.read_text()
+    path.write_text(original.replace("budget_slack=58", "budget_slack=77"))
+
+    def changes():
+        lines = [line for line in fleet.log("entry-1") if line["event"] == 1012]
+        return [line for line in lines if line["setting"] == "retries"]
+
+    wait_for(lambda: changes(), 5.0)
+    line = changes()[0]
+    assert line["in_force"]
+    assert "58" in line["old"] and "77" in line["new"]
+    path.write_text(original + "\nport = [broken")
+    wait_for(lambda: any(line["event"] == 1010 for line in fleet.log("entry-1")), 5.0)
+    path.write_text(original)
+    wait_for(lambda: len(changes()) == 2, 5.0)
+    assert fleet.request("entry-1").status == 200
