Write log lines whole, and give the line of dropped ones a level

Cause: a write that the reader of standard output took in part lost the rest, and so tore a line; the line that counts dropped lines had no level, so reports by level left it out.

--- a/src/snipecart/program/log.py
+++ b/src/snipecart/program/log.py
@@ -34,9 +34,10 @@
         super().__init__("log", MAX_WAITING_LINES)
 
     def handle(self, batch: list[bytes], now: Instant) -> None:
-        """Write all waiting lines in one call."""
-        if batch:
-            os.write(STDOUT_FD, b"".join(batch))
+        """Write all waiting lines, in one call if the reader takes them at once."""
+        lines = memoryview(b"".join(batch))
+        while lines:
+            lines = lines[os.write(STDOUT_FD, lines) :]
 
 
 class JsonHandler(logbook.Handler):
@@ -76,6 +77,7 @@
             fields: dict[str, Any] = {
                 "at": round(timestamp, 3),
                 "event": LOG_LINES_DROPPED.number,
+                "level": logbook.get_level_name(LOG_LINES_DROPPED.level),
                 "what": LOG_LINES_DROPPED.text,
                 "count": self._dropped,
             }
