Name the server module for what it does, and close its listener once

Cause: heads.py had come to hold the whole waiting of the server; a second request to stop accepting found a closed socket and cost the 2 s of its timeout. A connection whose head is read by a thread after all left its entry behind.

--- a/src/snipecart/program/http.py
+++ b/src/snipecart/program/http.py
@@ -12,7 +12,7 @@
 
 from ..core.events import SERVER_ERROR
 from ..core.events import emit
-from .heads import HeadFirstServer
+from .server import HeadFirstServer
 from .threads import ElasticThreadPool
 
 if TYPE_CHECKING:
--- a/src/snipecart/program/heads.py
+++ b/src/snipecart/program/server.py
@@ -1,4 +1,8 @@
-"""Give a connection to a thread only once the head of a request has arrived on it."""
+"""Serve HTTP by threads that clients can't hold by sending slowly or not at all.
+
+The server's own thread, which waits on all sockets, gives a connection to a thread once the
+head of a request has arrived on it. It also discards the rest of rejected requests.
+"""
 
 from __future__ import annotations
 
@@ -105,6 +109,8 @@
         The system would go on to complete connections that no one accepts, and their
         requests would be cut off when the process ends.
         """
+        if not self.ready or self.socket.fileno() < 0:
+            return
         request = StopAccepting()
         self.put_conn(request)
         request.done.wait(STOP_ACCEPTING_SECONDS)
@@ -159,6 +165,7 @@
             self._wait_for_more(conn, before, received or b"")
         elif received and not _is_closed_by_peer(conn):
             # The system doesn't know low water marks: a thread reads the rest.
+            self._partial.pop(conn, None)
             super().process_conn(conn)
         else:
             self._partial.pop(conn, None)
--- a/tests/program/test_heads.py
+++ b/tests/program/test_server.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from snipecart.program import heads
+from snipecart.program import server as server_module
 from snipecart.program.http import make_wsgi_server
 from snipecart.program.http import running_server
 from snipecart.program.listener import HttpListener
@@ -143,7 +143,7 @@
 
 
 def test_too_many_incomplete_heads_make_room_for_new_ones(monkeypatch):
-    monkeypatch.setattr(heads, "MAX_PARTIAL_HEADS", 10)
+    monkeypatch.setattr(server_module, "MAX_PARTIAL_HEADS", 10)
     with server():
         waiting = [connect(HEAD) for _ in range(15)]
         assert waiting[0].recv(10) == b""
@@ -154,7 +154,7 @@
 
 
 def test_a_head_in_pieces_is_served_without_low_water_marks(monkeypatch):
-    monkeypatch.setattr(heads, "_set_low_water_mark", lambda conn, size: None)
+    monkeypatch.setattr(server_module, "_set_low_water_mark", lambda conn, size: None)
     with server(), connect(HEAD) as sock:
         time.sleep(0.2)
         sock.sendall(b"\r\n")
@@ -171,3 +171,11 @@
             sock.sendall(b"\r\n")
             assert read_answer(sock).endswith(b"/a")
             sock.close()
+
+
+def test_a_server_that_accepts_no_more_can_be_asked_again():
+    with server() as http_server:
+        http_server.stop_accepting()
+        started_at = time.monotonic()
+        http_server.stop_accepting()
+        assert time.monotonic() - started_at < 0.5
