--- a/src/snipecart/program/server.py
+++ b/src/snipecart/program/server.py
@@ -1,7 +1,7 @@
 """Serve HTTP by threads that clients can't hold by sending slowly or not at all.
 
-The server's own thread, which waits on all sockets, gives a connection to a thread once the
-head of a request has arrived on it. It also discards the rest of rejected requests.
+The server's own thread, which waits on all sockets, gives a connection to a thread once
+the head of a request has arrived. It also discards the rest of rejected requests.
 """
 
 from __future__ import annotations
