Count the wait for a thread into a request's deadline, and drop clients that left meanwhile

Requests then waited for a thread without being seen: their deadline began when a thread read them, and a client that had left was noticed only 0.2 s after its request had been sent on.

Ruled out: the 0.2 s of the task that watches clients; it is within the bound where threads are free.

A request whose client has closed its connection while it waited is not sent. The wait is a histogram. A gateway may start 320 threads, so that the balancer, which rejects what can't be served in time, sees the requests and not the queue before it.

--- a/src/snipecart/gateway/metrics.py
+++ b/src/snipecart/gateway/metrics.py
@@ -33,6 +33,11 @@
     ["rank"],
     buckets=(0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 1.5, 2, 3, 5),
 )
+THREAD_WAIT_SECONDS = Histogram(
+    "snipecart_gateway_thread_wait_seconds",
+    "Time from the arrival of a request's head until a thread reads it",
+    buckets=(0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2),
+)
 ROUTING_VERSION = Gauge(
     "snipecart_gateway_routing_version", "Version of the routing table in force here"
 )
--- a/src/snipecart/gateway/server.py
+++ b/src/snipecart/gateway/server.py
@@ -45,12 +45,14 @@
 from .metrics import REFUSALS
 from .metrics import REQUEST_SECONDS
 from .metrics import REQUESTS
+from .metrics import THREAD_WAIT_SECONDS
 from .pipeline import choose_retry_after
 from .request import AnsweredRequest
 from .request import Attempt
 from .request import Cancellation
 from .request import FailedRequest
 from .request import HttpRequest
+from .watch import has_disconnected
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -114,6 +116,9 @@
             )
             return
         descriptor = self.req.conn.socket.fileno()
+        if has_disconnected(descriptor):
+            self._send_failure(ctx, req, FailedRequest(ClientGone(), False))
+            return
         with ctx.watch.watching(descriptor, req.cancellation):
             result = ctx.pipeline.run(req)
         if result.is_ok():
@@ -128,8 +133,9 @@
         answer_memory: MemoryReservation,
     ) -> Result[HttpRequest, Failure]:
         """Return the request with its complete body, or why it can't be read."""
-        received_at = monotonic()
         raw = self.req
+        received_at = raw.conn.head_at
+        THREAD_WAIT_SECONDS.observe(monotonic() - received_at)
         try:
             target = raw.uri.decode("ascii")
             headers = tuple(
--- a/src/snipecart/gateway/watch.py
+++ b/src/snipecart/gateway/watch.py
@@ -22,6 +22,13 @@
 DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
+def has_disconnected(descriptor: int) -> bool:
+    """Return whether a client has closed its connection."""
+    poll = select.poll()
+    poll.register(descriptor, select.POLLRDHUP)
+    return any(events & DISCONNECT_EVENTS for _, events in poll.poll(0))
+
+
 @dataclass(frozen=True)
 class WatchConnection:
     """Ask the task to watch a client's connection."""
--- a/src/snipecart/program/server.py
+++ b/src/snipecart/program/server.py
@@ -12,11 +12,11 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from types import SimpleNamespace
-from typing import TYPE_CHECKING
 from typing import Any
 from weakref import WeakKeyDictionary
 
 from cheroot.makefile import MakeFile
+from cheroot.server import HTTPConnection
 from cheroot.server import HTTPServer
 
 from ..core.events import HEAD_TIMED_OUT
@@ -24,10 +24,6 @@
 from ..core.ids import Instant
 from ..core.task import monotonic
 
-if TYPE_CHECKING:
-    from cheroot.server import HTTPConnection
-
-
 HEAD_TIMEOUT_SECONDS = 10.0
 """Time from the first byte of a head to its last."""
 
@@ -68,6 +64,13 @@
     bytes_left: int = MAX_DISCARDED_BYTES
 
 
+class TimedConnection(HTTPConnection):
+    """Represent a client's connection, and when its latest request arrived."""
+
+    head_at = Instant(0.0)
+    """When the head of the latest request was complete, before it had a thread."""
+
+
 class StopAccepting:
     """Ask the server's own thread, as a connection with input, to stop accepting."""
 
@@ -92,6 +95,7 @@
     The received bytes stay in the socket until a thread reads them.
     """
 
+    ConnectionClass = TimedConnection
     head_timeout = HEAD_TIMEOUT_SECONDS
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
@@ -153,24 +157,27 @@
             self._discard(conn, self._discarding[conn])
             return
         if conn.rfile.has_data():
-            super().process_conn(conn)
+            self._queue_for_thread(conn)
             return
         before = self._partial.get(conn) or PartialHead(monotonic())
         received = self._peek(conn)
         if _is_complete(received, self.max_request_header_size):
-            self._partial.pop(conn, None)
             _set_low_water_mark(conn, 1)
-            super().process_conn(conn)
+            self._queue_for_thread(conn)
         elif received is None or len(received) > before.size:
             self._wait_for_more(conn, before, received or b"")
         elif received and not _is_closed_by_peer(conn):
             # The system doesn't know low water marks: a thread reads the rest.
-            self._partial.pop(conn, None)
-            super().process_conn(conn)
+            self._queue_for_thread(conn)
         else:
             self._partial.pop(conn, None)
             conn.close()
 
+    def _queue_for_thread(self, conn: TimedConnection) -> None:
+        self._partial.pop(conn, None)
+        conn.head_at = monotonic()
+        super().process_conn(conn)
+
     def _discard(self, conn: HTTPConnection, discarded: DiscardedInput) -> None:
         """Discard what has arrived; close a connection that has had its time."""
         while conn.rfile.has_data():
--- a/src/snipecart/program/settings.py
+++ b/src/snipecart/program/settings.py
@@ -119,7 +119,7 @@
     regions: tuple[RegionName, ...]
     port: Port
     ready_port: Port
-    threads: Annotated[int, Field(ge=4, le=1024)] = 160
+    threads: Annotated[int, Field(ge=4, le=1024)] = 320
     body_memory_mb: Annotated[float, Field(gt=0)] = 64.0
     """Memory for the bodies of all requests in progress, in megabytes."""
     answer_memory_mb: Annotated[float, Field(gt=0)] = 64.0
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import threading
 import time
 from contextlib import ExitStack
 from contextlib import contextmanager
@@ -14,6 +15,7 @@
 
 from snipecart.core.memory import MemoryBudget
 from snipecart.core.states import SendOutcome
+from snipecart.core.task import monotonic
 from snipecart.gateway.balancing.routes import RouteIndex
 from snipecart.gateway.balancing.task import View
 from snipecart.gateway.body import BodySlots
@@ -57,10 +59,10 @@
 
 
 @contextmanager
-def gateway_server(routing=ROUTING, body_memory=1_000_000):
+def gateway_server(routing=ROUTING, body_memory=1_000_000, pipeline=None):
     """Run the HTTP server of a gateway with a pipeline that echoes bodies."""
     balancer = SimpleNamespace(view=View(index=RouteIndex(routing)))
-    pipeline = EchoPipeline()
+    pipeline = pipeline or EchoPipeline()
     ctx = RequestContext(
         pipeline,
         HeaderNames(),
@@ -75,6 +77,14 @@
         yield pipeline
 
 
+def wait_until(condition):
+    """Block until a condition is true, or fail after five seconds."""
+    end = time.monotonic() + 5.0
+    while not condition():
+        assert time.monotonic() < end
+        time.sleep(0.01)
+
+
 def exchange(*pieces):
     """Send bytes on one connection; return all bytes received until it closes."""
     with socket.create_connection((HOST, PORT), timeout=5.0) as sock:
@@ -150,3 +160,40 @@
         assert time.monotonic() - started_at < 1.0
         rejected = exchange(post(b"x", CLOSE, length=100))
     assert rejected.startswith(b"HTTP/1.1 503 ") and b"body_slots_full" in rejected
+
+
+class SlowPipeline(EchoPipeline):
+    """Hold each request until the test releases all."""
+
+    def __init__(self):
+        super().__init__()
+        self.release = threading.Event()
+        self.requests = []
+
+    def run(self, req):
+        """Answer once the test allows it."""
+        self.requests.append(req)
+        self.release.wait(10.0)
+        return super().run(req)
+
+
+def test_requests_that_wait_for_a_thread_are_timed_and_dropped_if_their_client_left():
+    pipeline = SlowPipeline()
+    with gateway_server(pipeline=pipeline), ExitStack() as stack:
+        socks = [
+            stack.enter_context(socket.create_connection((HOST, PORT), 5.0))
+            for _ in range(THREADS + 2)
+        ]
+        for sock in socks[:THREADS]:
+            sock.sendall(post(b"held"))
+        wait_until(lambda: len(pipeline.requests) == THREADS)
+        for sock in socks[THREADS:]:
+            sock.sendall(post(b"waits", CLOSE))
+        socks[-1].close()
+        time.sleep(0.4)
+        pipeline.release.set()
+        assert b"200 Fine" in socks[THREADS].recv(4096)
+        wait_until(lambda: len(pipeline.requests) == THREADS + 1)
+        time.sleep(0.1)
+    assert len(pipeline.requests) == THREADS + 1
+    assert monotonic() - pipeline.requests[-1].received_at > 0.4
