--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -10,7 +10,6 @@
 
 from ...core.events import GATEWAY_ACTIVE
 from ...core.events import GATEWAY_INACTIVE
-from ...core.events import GATEWAY_OUT_OF_SYNC
 from ...core.events import HEARTBEAT_STALE
 from ...core.events import HEARTBEAT_UNCONFIRMED
 from ...core.events import INSTANCE_CHANGED
@@ -26,20 +25,20 @@
 from ...core.task import Task
 from ...core.task import monotonic
 from ...messages.discovery import Gossip
-from ...messages.discovery import Heard
 from ...messages.discovery import InstanceChanged
 from ...messages.discovery import InstanceSeen
-from ...messages.discovery import Repeated
 from ...messages.discovery import RoutingChanged
 from ...messages.discovery import SyncAnswer
 from ...messages.discovery import SyncRequest
 from ...wire.links import IncomingMessage
 from .gateways import CONFIRMATION_TIMEOUT
-from .gateways import CONTACT_TIMEOUT
 from .gateways import LOOKUP_TIMEOUT
 from .gateways import GatewayTable
 from .gateways import LookupIndex
 from .gateways import UnconfirmedUpdate
+from .gossip import GossipState
+from .listing import ListBudget
+from .listing import Lister
 from .table import SILENCE_TIMEOUT
 from .table import Change
 from .table import InstanceTable
@@ -53,25 +52,12 @@
 GOSSIP_INTERVAL = 0.3
 """Seconds between two gossip messages to the other control processes."""
 
-FULL_GOSSIP_INTERVAL = 6.0
-"""Seconds between two whole copies of an unchanged instance in gossip.
-
-Shorter than SILENCE_TIMEOUT, so that a process that missed one learns of the instance
-before it would count as gone.
-"""
-
 EXPIRY_INTERVAL = 1.0
 """Seconds between two removals of silent instances."""
 
 PAUSE_THRESHOLD = 1.0
 """Seconds between two batches above which this task must have been suspended."""
 
-LISTED_SERVERS_PER_SECOND = 4_000.0
-"""Backend servers that a process lists in a second for gateways that lack all.
-
-A process spends about a third of a core on that many.
-"""
-
 SETTLE_INTERVALS = 1.6
 """Heartbeat intervals after a start until this process has all live instances.
 
@@ -105,32 +91,6 @@
     members_index: LogIndex = LogIndex(0)
 
 
-@dataclass(frozen=True)
-class Listing:
-    """Store the changes that a gateway lacks, or all servers."""
-
-    incremental: bool
-    changes: tuple[Change, ...] = ()
-
-
-@dataclass
-class ListBudget:
-    """Limit the servers that lists of all servers contain in a second."""
-
-    left: float = LISTED_SERVERS_PER_SECOND
-    updated_at: Instant = Instant(-1e9)
-
-    def try_spend(self, servers: int, now: Instant) -> bool:
-        """Spend the budget for one list, unless earlier ones have used it up."""
-        earned = LISTED_SERVERS_PER_SECOND * (now - self.updated_at)
-        self.left = min(LISTED_SERVERS_PER_SECOND, self.left + earned)
-        self.updated_at = now
-        if self.left <= 0:
-            return False
-        self.left -= servers
-        return True
-
-
 Handler = Callable[["DiscoveryTask", Any, Instant], None]
 
 HANDLERS: Registry[type[Any], Handler] = Registry("handlers of discovery messages")
@@ -151,15 +111,9 @@
         self.instances = InstanceTable()
         self.gateways = GatewayTable()
         self.committed_state = CommittedState()
-        self.contacts: dict[VmName, Instant] = {}
-        self.runs: dict[VmName, str] = {}
-        """Latest run id of each other control process."""
         self.unconfirmed: list[UnconfirmedUpdate] = []
-        self.gossip_updates: list[Heard] = []
-        self.gossip_repeated: list[Repeated] = []
-        self.full_gossip_until = Instant(-1e9)
-        """Until when heartbeats are forwarded whole, as a process lacks instances."""
-        self.full_lists = ListBudget()
+        self.gossip = GossipState(vm, self.run_id, self.settle_seconds)
+        self.lister = Lister(self.run_id, self.instances, self.gateways, ListBudget())
         self.lookup_index = LookupIndex()
         """Gateways that lookups may return; replaced as a whole, read by any thread."""
         self._gossip_due = Instant(0.0)
@@ -190,68 +144,14 @@
             self._expire(now)
         if now >= self._gossip_due:
             self._gossip_due = Instant(now + GOSSIP_INTERVAL)
-            self._send_gossip()
+            self.broadcast(self.gossip.take())
         self._update_lookup_index(now)
 
-    def forward(self, update: InstanceUpdate, repeated: bool, now: Instant) -> None:
-        """Add a heartbeat or departure to the next gossip.
-
-        One that brings no change is forwarded in short form, and as a whole each
-        FULL_GOSSIP_INTERVAL.
-        """
-        instance = update.instance
-        live = self.instances.live.get(instance.instance)
-        if live is not None and repeated and not update.gone:
-            due = live.forwarded_at + FULL_GOSSIP_INTERVAL
-            if now < due and now >= self.full_gossip_until:
-                self.gossip_repeated.append(
-                    Repeated(instance.instance, instance.born, instance.sequence)
-                )
-                return
-        if live is not None:
-            live.forwarded_at = now
-        self.gossip_updates.append(Heard(instance, update.gone))
-
-    def _send_gossip(self) -> None:
-        self.broadcast(
-            Gossip(
-                self.vm,
-                tuple(self.gossip_updates),
-                self.run_id,
-                tuple(self.gossip_repeated),
-            )
-        )
-        self.gossip_updates.clear()
-        self.gossip_repeated.clear()
-
-    def record_contact(self, gossip: Gossip, now: Instant) -> None:
-        """Record contact with another process, and help one that lacks instances.
-
-        A process that has started again, or that comes back into contact, is told which
-        instances leave or have left. It would otherwise take a late heartbeat of such
-        an instance for that of a new one. Others are forwarded whole until it has
-        settled.
-        """
-        sender = gossip.sender
-        lost = now > self.contacts.get(sender, Instant(-1e9)) + CONTACT_TIMEOUT
-        self.contacts[sender] = now
-        if gossip.run == self.runs.get(sender, "") and not lost:
-            return
-        self.runs[sender] = gossip.run
-        self.full_gossip_until = Instant(now + self.settle_seconds + CONTACT_TIMEOUT)
-        self.gossip_updates += [
-            Heard(change.instance, change.gone)
-            for change in self.instances.departures(now)
-        ]
-
-    def peers_in_contact(self, now: Instant) -> set[VmName]:
-        """Return the VMs whose gossip arrived within CONTACT_TIMEOUT."""
-        return {vm for vm, at in self.contacts.items() if now < at + CONTACT_TIMEOUT}
-
     def in_contact(self, now: Instant) -> bool:
         """Return whether a majority of the voters, with this one, is in contact."""
         voters = {node.vm for node in self.committed_state.voters}
-        return len(voters & (self.peers_in_contact(now) | {self.vm})) > len(voters) / 2
+        reached = self.gossip.peers_in_contact(now) | {self.vm}
+        return len(voters & reached) > len(voters) / 2
 
     def is_settled(self, now: Instant) -> bool:
         """Return whether each server has had time to send a heartbeat since start."""
@@ -269,31 +169,6 @@
             return True
         return not (leaving or self._reached_majority or self.is_settled(now))
 
-    def list_changes(self, sync: SyncRequest, now: Instant) -> Listing | None:
-        """Return what a gateway lacks; None if it wants no changes or must ask again.
-
-        Lists of all servers are limited, so that many gateways that start together
-        don't keep this process from its part in the log.
-        """
-        if not sync.wants_changes:
-            return None
-        table = self.instances
-        incremental = (
-            sync.source == self.run_id and sync.revision >= table.compacted_revision
-        )
-        if incremental and sync.revision == table.revision:
-            gateway = sync.gateway.gateway
-            differs = sync.digest != table.digest()
-            if not self.gateways.differs_again(gateway, table.revision, differs):
-                return Listing(incremental=True)
-            emit(GATEWAY_OUT_OF_SYNC, gateway=gateway)
-            incremental = False
-        if incremental:
-            return Listing(True, tuple(table.changes_since(sync.revision, now)))
-        if not self.full_lists.try_spend(len(table.live), now):
-            return None
-        return Listing(False, tuple(table.changes_since(0, now)))
-
     def push_changes(self, changes: list[Change], now: Instant) -> list[MemberId]:
         """Push changes to all live gateways and return their ids."""
         live = self.gateways.live(now)
@@ -374,7 +249,7 @@
     if result.verdict is UpdateVerdict.STALE:
         emit(HEARTBEAT_STALE, instance=update.instance.instance)
     else:
-        task.forward(update, result.verdict is UpdateVerdict.REPEATED, now)
+        _forward(task, update, result.verdict, now)
     waiting = task.push_changes(_urgent_changes(task, result.changes, now), now)
     if not leaving or result.verdict is UpdateVerdict.STALE:
         update.reply(True)
@@ -392,6 +267,18 @@
     )
 
 
+def _forward(
+    task: DiscoveryTask, update: InstanceUpdate, verdict: UpdateVerdict, now: Instant
+) -> None:
+    """Add a heartbeat or departure to the next gossip."""
+    if update.gone:
+        task.gossip.forward_departure(update.instance)
+    elif verdict is UpdateVerdict.REPEATED:
+        task.gossip.forward_repeated(task.instances, update.instance, now)
+    else:
+        task.gossip.forward(task.instances, update.instance, now)
+
+
 def _urgent_changes(
     task: DiscoveryTask, changes: tuple[Change, ...], now: Instant
 ) -> list[Change]:
@@ -418,7 +305,7 @@
 def handle_gossip(task: DiscoveryTask, req: IncomingMessage, now: Instant) -> None:
     """Record the heartbeats that another control process received and pushed."""
     gossip: Gossip = req.message
-    task.record_contact(gossip, now)
+    task.gossip.record_contact(gossip, task.instances, now)
     for item in gossip.heard:
         task.instances.apply_update(item.instance, item.gone, now)
     for item in gossip.repeated:
@@ -448,7 +335,7 @@
     sends_routing = sync.wants_routing and newer_routing
     newer_members = committed_state.members_index > sync.control_index
     newer_zones = committed_state.evacuation_index > sync.evacuation_index
-    listing = task.list_changes(sync, now)
+    listing = task.lister.list_changes(sync, now)
     changes = listing.changes if listing is not None else ()
     in_contact = task.in_contact(now)
     ready = in_contact and task.is_settled(now)
--- a/src/snipecart/control/inspect.py
+++ b/src/snipecart/control/inspect.py
@@ -67,7 +67,7 @@
         task.committed_state.routing_version,
         tuple(sorted(task.committed_state.evacuated)),
         task.in_contact(now),
-        tuple(sorted(task.peers_in_contact(now))),
+        tuple(sorted(task.gossip.peers_in_contact(now))),
         tuple(ServiceStatus(name, dict(states)) for name, states in counts.items()),
         tuple(
             GatewayStatus(
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -377,7 +377,7 @@
         answers[seconds] = control.send_sync_answer("g1", Instant(start + seconds))
     gone = {seconds for seconds, answer in answers.items() if answer.absent_are_gone}
     assert gone == {seconds for seconds in answers if seconds > SILENCE_TIMEOUT}
-    control.task.contacts.clear()
+    control.task.gossip.contacts.clear()
     assert not control.send_sync_answer("g1", Instant(start + 9.6)).absent_are_gone
 
 
