Limit the time in which a client may read its answer

Cause: the timeout of a write applied to each call, so clients that read a large answer a few bytes at a time, or not at all, held threads for as long as they liked, or for 15 s.

Change: 30 s for all bytes of an answer; then the connection is closed, short of the length that it states.

Test: as many clients as threads that don't read 20 MB; another one is served meanwhile.

--- a/src/snipecart/gateway/server.py
+++ b/src/snipecart/gateway/server.py
@@ -55,6 +55,7 @@
 from .watch import has_disconnected
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Iterator
     from random import Random
 
@@ -70,6 +71,9 @@
 MAX_BODY_SECONDS = 60.0
 """Longest time that a client may take to send a body."""
 
+WRITE_SECONDS = 30.0
+"""Longest time that a client may take to read an answer."""
+
 LEAVING_RETRY_AFTER_SECONDS = 0.1
 """``Retry-After`` of requests that arrive after the gateway stopped accepting."""
 
@@ -303,7 +307,8 @@
             raw.close_connection = True
         raw.ensure_headers_sent()
         if body and raw.method != b"HEAD":
-            raw.write(body)
+            with limited_writes(raw.conn.socket, raw.server.timeout):
+                raw.conn.socket.sendall(body)
 
 
 def _http_status(failed: FailedRequest) -> int:
@@ -353,6 +358,17 @@
     server.timeout = max(1.0, limits.idle_timeout_ms / 1000)
 
 
+@contextmanager
+def limited_writes(sock: socket.socket, usual_timeout: float) -> Iterator[None]:
+    """Limit the time for all bytes of a write, which a client may read slowly.
+
+    The connection's own timeout applies to each call, and again after the block.
+    """
+    sock.settimeout(WRITE_SECONDS)
+    yield
+    sock.settimeout(usual_timeout)
+
+
 @contextmanager
 def serving_requests(listener: HttpListener, ctx: RequestContext) -> Iterator[Any]:
     """Accept requests on a listener until the block ends."""
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -16,6 +16,7 @@
 from snipecart.core.memory import MemoryBudget
 from snipecart.core.states import SendOutcome
 from snipecart.core.task import monotonic
+from snipecart.gateway import server as server_module
 from snipecart.gateway.balancing.routes import RouteIndex
 from snipecart.gateway.balancing.task import View
 from snipecart.gateway.body import BodySlots
@@ -197,3 +198,16 @@
         time.sleep(0.1)
     assert len(pipeline.requests) == THREADS + 1
     assert monotonic() - pipeline.requests[-1].received_at > 0.4
+
+
+def test_clients_that_do_not_read_their_answers_are_closed(monkeypatch):
+    monkeypatch.setattr(server_module, "WRITE_SECONDS", 0.3)
+    body = b"x" * 20_000_000
+    with gateway_server(body_memory=200_000_000) as pipeline, ExitStack() as stack:
+        for _ in range(THREADS):
+            sock = stack.enter_context(socket.create_connection((HOST, PORT), 5.0))
+            sock.sendall(post(body))
+        wait_until(lambda: len(pipeline.received) == THREADS)
+        started_at = time.monotonic()
+        assert b"200 Fine" in exchange(post(b"whole", CLOSE))
+        assert time.monotonic() - started_at < 2.0
