List serving instances before leaving ones in the status of a control process

Cause: states were listed in the order in which a process heard of them.

Ruled out: a server that was missing from the list; no gateway removed one.

Change: states are listed in the order of their definition. Test: fails before.

--- a/src/snipecart/control/inspect.py
+++ b/src/snipecart/control/inspect.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from ..core.states import EndpointState
 from .requests import describe_node
 
 if TYPE_CHECKING:
@@ -68,7 +69,9 @@
         tuple(sorted(task.committed_state.evacuated)),
         task.in_contact(now),
         tuple(sorted(task.gossip.peers_in_contact(now))),
-        tuple(ServiceStatus(name, dict(states)) for name, states in counts.items()),
+        tuple(
+            ServiceStatus(name, _in_order(states)) for name, states in counts.items()
+        ),
         tuple(
             GatewayStatus(
                 item.gateway.gateway,
@@ -82,6 +85,11 @@
     )
 
 
+def _in_order(states: Counter[str]) -> dict[str, int]:
+    """Return the states that occur, in the order of their definition."""
+    return {state: states[state] for state in EndpointState if states[state]}
+
+
 def control_pages(tasks: ControlTasks) -> dict[str, Page]:
     """Return the inspection pages of a control process by path."""
 
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -11,6 +11,7 @@
 from snipecart.control.discovery.task import CommittedState
 from snipecart.control.discovery.task import DiscoveryTask
 from snipecart.control.discovery.task import InstanceUpdate
+from snipecart.control.inspect import describe_discovery
 from snipecart.core.ids import Instant
 from snipecart.core.states import EndpointState
 from snipecart.core.states import MemberState
@@ -526,3 +527,12 @@
         [IncomingMessage(Gossip("c2", (), "second"), print)], Instant(58.1)
     )
     assert len(sent[-1].heard) == 5
+
+
+def test_the_status_lists_serving_instances_before_leaving_ones():
+    control = TaskDriver()
+    control.receive_gossip(50.0, "c2")
+    control.send_update(replace(FIRST, state=EndpointState.LEAVING), 50.0)
+    control.send_update(make_instance(2), 50.1)
+    (service,) = describe_discovery(control.task, Instant(50.2)).services
+    assert list(service.states.items()) == [("serving", 1), ("leaving", 1)]
