Gossip a departure before it is acknowledged

Cause: a control process acknowledged a departure once its gateways had confirmed it, and told the other control processes within the next 0.3 s. If it ended in between, the others listed the server until its silence, 8 s; a gateway that started then would have used it.

Change: a batch with a departure or a draining server ends with gossip, before the gateways can have confirmed it.

Tests: fails before. test_departures_are_repeated_once counts both gossips of a departure, the first of which now comes at once.

--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -147,6 +147,14 @@
             self.broadcast(self.gossip.take())
         self._update_lookup_index(now)
 
+    def send_gossip_soon(self, now: Instant) -> None:
+        """Send gossip with this batch of messages.
+
+        The others must know of a departure before it is acknowledged, as this process
+        may end right after.
+        """
+        self._gossip_due = now
+
     def in_contact(self, now: Instant) -> bool:
         """Return whether a majority of the voters, with this one, is in contact."""
         voters = {node.vm for node in self.committed_state.voters}
@@ -254,6 +262,7 @@
     if not leaving or result.verdict is UpdateVerdict.STALE:
         update.reply(True)
         return
+    task.send_gossip_soon(now)
     if not result.changes:
         waiting = task.push_changes([Change(result.received, update.gone)], now)
     task.unconfirmed.append(
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -455,7 +455,6 @@
     control.receive_gossip(50.0, "c2")
     control.send_update(FIRST, 50.0)
     control.send_update(FIRST, 50.1, gone=True)
-    sent.clear()
     for step in range(6):
         gossip = IncomingMessage(Gossip("c2", (), "second"), print)
         control.task.handle([gossip], Instant(50.5 + step / 2))
@@ -536,3 +535,15 @@
     control.send_update(make_instance(2), 50.1)
     (service,) = describe_discovery(control.task, Instant(50.2)).services
     assert list(service.states.items()) == [("serving", 1), ("leaving", 1)]
+
+
+def test_a_departure_is_gossiped_before_it_is_acknowledged():
+    control = TaskDriver()
+    sent = gossiped_by(control.task)
+    control.receive_gossip(50.0, "c2")
+    control.send_sync("g1", 50.0)
+    control.send_update(FIRST, 50.1)
+    sent.clear()
+    control.send_update(FIRST, 50.2, gone=True)
+    assert control.replies == [True]
+    assert [item.gone for message in sent for item in message.heard] == [False, True]
