Stop servers without a wait, so that a gateway ends within its grace

Cause: a stopping server waits until its own thread's select returns, up to a second, and a gateway stops three servers, one after the other.

Ruled out: a shorter interval of the select, which would wake every program more often.

Change: a connection of the server's own, with input, wakes the thread once the server is to stop.

--- a/src/snipecart/program/server.py
+++ b/src/snipecart/program/server.py
@@ -36,6 +36,9 @@
 STOP_ACCEPTING_SECONDS = 2.0
 """Time to wait until the server's own thread has closed the listening socket."""
 
+WAKE_DELAY_SECONDS = 0.02
+"""Time after which a stopping server's own thread is woken, to see that it stops."""
+
 DISCARD_SECONDS = 2.0
 """Time for which the rest of a rejected request is read and discarded."""
 
@@ -71,21 +74,31 @@
     """When the head of the latest request was complete, before it had a thread."""
 
 
-class StopAccepting:
-    """Ask the server's own thread, as a connection with input, to stop accepting."""
+class Wakeup:
+    """Wake the server's own thread, which takes it for a connection with input."""
 
     def __init__(self) -> None:
         self.socket, self._peer = socket.socketpair()
-        self._peer.send(b"1")
         self.rfile = SimpleNamespace(has_data=lambda: False)
         self.last_used = 0.0
-        self.done = threading.Event()
+
+    def send(self) -> None:
+        """Wake the thread."""
+        with suppress(OSError):
+            self._peer.send(b"1")
 
     def close(self) -> None:
-        """Close the sockets, and tell that no connection is accepted any more."""
+        """Close the sockets."""
         self.socket.close()
         self._peer.close()
-        self.done.set()
+
+
+class StopAccepting(Wakeup):
+    """Ask the server's own thread to stop accepting, and tell when it has."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.done = threading.Event()
 
 
 class HeadFirstServer(HTTPServer):
@@ -100,6 +113,7 @@
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
+        self._wakeup: Wakeup | None = None
         self._partial: WeakKeyDictionary[HTTPConnection, PartialHead] = (
             WeakKeyDictionary()
         )
@@ -117,7 +131,18 @@
             return
         request = StopAccepting()
         self.put_conn(request)
+        request.send()
         request.done.wait(STOP_ACCEPTING_SECONDS)
+        self._wakeup = Wakeup()
+        self.put_conn(self._wakeup)
+
+    def stop(self) -> None:
+        """Stop the server, whose own thread may be waiting for input."""
+        if self._wakeup is not None:
+            wake = threading.Timer(WAKE_DELAY_SECONDS, self._wakeup.send)
+            wake.daemon = True
+            wake.start()
+        super().stop()
 
     def _close_listener(self) -> None:
         # cheroot has no public way to forget a socket that its own thread waits for.
@@ -143,7 +168,7 @@
         end = Instant(monotonic() + DISCARD_SECONDS)
         self._discarding[conn] = DiscardedInput(end)
 
-    def process_conn(self, conn: HTTPConnection | StopAccepting) -> None:
+    def process_conn(self, conn: HTTPConnection | Wakeup) -> None:
         """Queue a connection with a complete head for a thread, or wait for the rest.
 
         Close it once the client has closed it or was too slow. A thread also gets what
@@ -151,6 +176,8 @@
         """
         if isinstance(conn, StopAccepting):
             self._close_listener()
+            conn.done.set()
+        if isinstance(conn, Wakeup):
             conn.close()
             return
         if conn in self._discarding:
--- a/tests/process/test_planned_stop.py
+++ b/tests/process/test_planned_stop.py
@@ -24,6 +24,9 @@
 """Clients that keep connections, and as many that open one for each request."""
 
 
+GRACE_SECONDS = 4.0
+"""Time that the settings allow for a stop."""
+
 RETRY_AFTER = 0.1
 """Seconds that a rejected client waits, as the answer asks it to."""
 
@@ -100,6 +103,12 @@
     return 0
 
 
+def _stop_seconds(fleet):
+    """Return the time from the signal to the end, by the gateway's log."""
+    times = {line["event"]: line["at"] for line in fleet.log("entry-1")}
+    return times[1003] - times[1002]
+
+
 def test_requests_are_answered_until_no_connection_can_be_opened(fleet):
     clients = [
         Client(fleet.host("entry-1"), keeps=at % 2 == 0) for at in range(2 * CLIENTS)
@@ -110,6 +119,7 @@
     process = fleet.processes.pop("entry-1")
     process.send_signal(signal.SIGTERM)
     assert process.wait(10) == 0
+    assert _stop_seconds(fleet) < GRACE_SECONDS
     for client in clients:
         client.join(5.0)
     ends = sum((client.ends for client in clients), Counter())
--- a/tests/program/test_server.py
+++ b/tests/program/test_server.py
@@ -179,3 +179,10 @@
         started_at = time.monotonic()
         http_server.stop_accepting()
         assert time.monotonic() - started_at < 0.5
+
+
+def test_an_idle_server_stops_without_a_wait():
+    with server():
+        time.sleep(0.2)
+        started_at = time.monotonic()
+    assert time.monotonic() - started_at < 0.3
