Use one exchange, one token bucket and one check of closed peers, and scale a write's limit

The gateway and the entry process each wrote, read, kept or closed a connection around the shared reader, with the same tuple of errors; the entry process had no record of rejections, so a call whose own rejection it had got was sent again on that connection (before: one connection for both), where a copy of it couldn't be told. The limit of full lists was a second token bucket; whether a peer has closed its connection was asked in two places. 30 s for any answer would cut a client on a VM's own slow link: 32 MB take 100 s at 2.5 Mbit/s. A reload that was refused was logged as taken.

Ruled out: recording rejections in the entry process as well; that is what the shared exchange is for.

Change: ConnectionPool.exchange, with AnswerLimits, EXCHANGE_ERRORS and HttpAnswer.header; any failure's id is kept with its connection. TokenBucket moves to core and takes amounts. has_peer_closed stands in core/sockets.py. A client has 30 s and 10 kB/s for an answer. "settings reloaded" says taken=False if they were refused. Names: ChangeFeed, SyncChanges and full sync for Lister, Listing and lists; RepeatedHeartbeat; ClientConnection, which holds what a weak dictionary held; BackendClient in the gateway as in the entry process.

Tests: a rejected call goes to a new connection (failed before). The mutated bodies' test checks lengths and failures, where it could hardly fail. test_log shares its settings.

--- a/src/snipecart/control/discovery/listing.py
+++ b/src/snipecart/control/discovery/change_feed.py
@@ -7,72 +7,57 @@
 
 from ...core.events import GATEWAY_OUT_OF_SYNC
 from ...core.events import emit
-from ...core.ids import Instant
 
 if TYPE_CHECKING:
+    from ...core.ids import Instant
+    from ...core.token_bucket import TokenBucket
     from ...messages.discovery import SyncRequest
     from .gateways import GatewayTable
     from .table import Change
     from .table import InstanceTable
 
-LISTED_SERVERS_PER_SECOND = 4_000.0
-"""Backend servers that a process lists in a second for gateways that lack all.
+FULL_SYNC_SERVERS_PER_SECOND = 4_000.0
+"""Backend servers in full syncs per second.
 
-A process spends about a third of a core on that many.
+Encoding them must leave a control process time for its part in the log.
 """
 
 
 @dataclass(frozen=True)
-class Listing:
-    """Store the changes that a gateway lacks, or all servers."""
+class SyncChanges:
+    """Store the changes since a gateway's revision, or all servers in a full sync."""
 
     incremental: bool
     changes: tuple[Change, ...] = ()
 
 
 @dataclass
-class ListBudget:
-    """Limit the servers that lists of all servers contain in a second."""
-
-    left: float = LISTED_SERVERS_PER_SECOND
-    updated_at: Instant = Instant(-1e9)
-
-    def try_spend(self, servers: int, now: Instant) -> bool:
-        """Spend the budget for one list, unless earlier ones have used it up."""
-        earned = LISTED_SERVERS_PER_SECOND * (now - self.updated_at)
-        self.left = min(LISTED_SERVERS_PER_SECOND, self.left + earned)
-        self.updated_at = now
-        if self.left <= 0:
-            return False
-        self.left -= servers
-        return True
-
-
-@dataclass
-class Lister:
-    """Store what decides between the changes since a revision and all servers."""
+class ChangeFeed:
+    """Choose between the changes since a revision and a full sync."""
 
     run: str
     """Id of this process's run, which revisions belong to."""
     table: InstanceTable
     gateways: GatewayTable
-    budget: ListBudget
+    full_syncs: TokenBucket
+    """Limits the servers in full syncs."""
 
-    def list_changes(self, sync: SyncRequest, now: Instant) -> Listing | None:
+    def changes_for(self, sync: SyncRequest, now: Instant) -> SyncChanges | None:
         """Return what a gateway lacks; None if it wants no changes or must ask again.
 
-        Lists of all servers are limited, so that many gateways that start together
-        don't keep this process from its part in the log.
+        Full syncs are limited, so that many gateways that start together don't keep
+        this process from its part in the log.
         """
         if not sync.wants_changes:
             return None
         if self._has_missed_changes(sync):
             emit(GATEWAY_OUT_OF_SYNC, gateway=sync.gateway.gateway)
         elif self._knows_revision(sync):
-            return Listing(True, tuple(self.table.changes_since(sync.revision, now)))
-        if not self.budget.try_spend(len(self.table.live), now):
+            changes = self.table.changes_since(sync.revision, now)
+            return SyncChanges(True, tuple(changes))
+        if not self.full_syncs.try_acquire(now, len(self.table.live)):
             return None
-        return Listing(False, tuple(self.table.changes_since(0, now)))
+        return SyncChanges(False, tuple(self.table.changes_since(0, now)))
 
     def _knows_revision(self, sync: SyncRequest) -> bool:
         same_run = sync.source == self.run
--- a/src/snipecart/control/discovery/gossip.py
+++ b/src/snipecart/control/discovery/gossip.py
@@ -9,7 +9,7 @@
 from ...core.ids import Instant
 from ...messages.discovery import Gossip
 from ...messages.discovery import Heard
-from ...messages.discovery import Repeated
+from ...messages.discovery import RepeatedHeartbeat
 from .gateways import CONTACT_TIMEOUT
 
 if TYPE_CHECKING:
@@ -41,7 +41,7 @@
     runs: dict[VmName, str] = field(default_factory=dict)
     """Latest run id of each other process."""
     heard: list[Heard] = field(default_factory=list)
-    repeated: list[Repeated] = field(default_factory=list)
+    repeated: list[RepeatedHeartbeat] = field(default_factory=list)
     whole_until: Instant = NEVER
     """Until when heartbeats are forwarded whole, as some process lacks instances."""
 
@@ -66,7 +66,7 @@
             self.forward(table, instance, now)
             return
         self.repeated.append(
-            Repeated(instance.instance, instance.born, instance.sequence)
+            RepeatedHeartbeat(instance.instance, instance.born, instance.sequence)
         )
 
     def forward_departure(self, instance: Instance) -> None:
--- a/src/snipecart/control/discovery/table.py
+++ b/src/snipecart/control/discovery/table.py
@@ -20,7 +20,7 @@
     from collections.abc import Iterator
 
     from ...messages.discovery import Instance
-    from ...messages.discovery import Repeated
+    from ...messages.discovery import RepeatedHeartbeat
 
 SILENCE_TIMEOUT = 8.0
 """Seconds without a heartbeat after which an instance counts as gone."""
@@ -128,7 +128,7 @@
             UpdateVerdict.NEWS, received, (*replaced, Change(received, gone=False))
         )
 
-    def touch(self, repeated: Repeated, now: Instant) -> None:
+    def touch(self, repeated: RepeatedHeartbeat, now: Instant) -> None:
         """Record that an instance is alive, if this table has that run of it.
 
         The stored sequence number stays that of the stored state: a gateway must not
--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -24,6 +24,7 @@
 from ...core.registry import Registry
 from ...core.task import Task
 from ...core.task import monotonic
+from ...core.token_bucket import TokenBucket
 from ...messages.discovery import Gossip
 from ...messages.discovery import InstanceChanged
 from ...messages.discovery import InstanceSeen
@@ -31,14 +32,14 @@
 from ...messages.discovery import SyncAnswer
 from ...messages.discovery import SyncRequest
 from ...wire.links import IncomingMessage
+from .change_feed import FULL_SYNC_SERVERS_PER_SECOND
+from .change_feed import ChangeFeed
 from .gateways import CONFIRMATION_TIMEOUT
 from .gateways import LOOKUP_TIMEOUT
 from .gateways import GatewayTable
 from .gateways import LookupIndex
 from .gateways import UnconfirmedUpdate
 from .gossip import GossipState
-from .listing import ListBudget
-from .listing import Lister
 from .table import SILENCE_TIMEOUT
 from .table import Change
 from .table import InstanceTable
@@ -113,7 +114,11 @@
         self.committed_state = CommittedState()
         self.unconfirmed: list[UnconfirmedUpdate] = []
         self.gossip = GossipState(vm, self.run_id, self.settle_seconds)
-        self.lister = Lister(self.run_id, self.instances, self.gateways, ListBudget())
+        per_second = FULL_SYNC_SERVERS_PER_SECOND
+        full_syncs = TokenBucket(per_second, per_second, per_second, Instant(0.0))
+        self.change_feed = ChangeFeed(
+            self.run_id, self.instances, self.gateways, full_syncs
+        )
         self.lookup_index = LookupIndex()
         """Gateways that lookups may return; replaced as a whole, read by any thread."""
         self._gossip_due = Instant(0.0)
@@ -344,15 +349,15 @@
     sends_routing = sync.wants_routing and newer_routing
     newer_members = committed_state.members_index > sync.control_index
     newer_zones = committed_state.evacuation_index > sync.evacuation_index
-    listing = task.lister.list_changes(sync, now)
-    changes = listing.changes if listing is not None else ()
+    feed = task.change_feed.changes_for(sync, now)
+    changes = feed.changes if feed is not None else ()
     in_contact = task.in_contact(now)
     ready = in_contact and task.is_settled(now)
     req.reply(
         SyncAnswer(
-            task.run_id if listing is not None else "",
-            task.instances.revision if listing is not None else 0,
-            listing is not None and not listing.incremental and ready,
+            task.run_id if feed is not None else "",
+            task.instances.revision if feed is not None else 0,
+            feed is not None and not feed.incremental and ready,
             tuple(item.instance for item in changes if not item.gone),
             tuple(item.instance.instance for item in changes if item.gone),
             committed_state.routing_version,
--- a/src/snipecart/gateway/backends.py
+++ b/src/snipecart/gateway/backends.py
@@ -2,12 +2,8 @@
 
 from __future__ import annotations
 
-import http.client
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from urllib3.exceptions import HTTPError
-
 from ..core.failures import BackendBroken
 from ..core.failures import BackendTimedOut
 from ..core.failures import BackendUnreachable
@@ -17,14 +13,14 @@
 from ..core.ids import Instant
 from ..core.states import SendOutcome
 from ..core.task import monotonic
+from ..upstream.answers import EXCHANGE_ERRORS
 from ..upstream.answers import ExpectedAnswer
-from ..upstream.answers import read_answer
 from ..upstream.connection import Connection
 from ..upstream.connection import connect
-from ..upstream.pool import IdleConnections
+from ..upstream.pool import ConnectionPool
+from ..upstream.reader import AnswerLimits
 from ..upstream.reader import AnswerRejected
-from ..upstream.reader import ReadLimits
-from ..upstream.requests import write_request
+from ..upstream.requests import BackendRequest
 from .load_report import parse_load_report
 from .metrics import CONNECTIONS
 from .request import SendResult
@@ -33,7 +29,6 @@
     from ..upstream.answers import HttpAnswer
     from .request import Destination
     from .request import HeaderNames
-    from .request import HttpRequest
     from .request import RoutedRequest
 
 RETURN_MARGIN_SECONDS = 0.02
@@ -44,23 +39,10 @@
 
 MISDIRECTED_STATUS = 421
 
-CONNECTION_ERRORS = (http.client.HTTPException, HTTPError, OSError, ValueError)
-
-
-@dataclass(frozen=True)
-class AnswerLimits:
-    """Limit the size of one answer of a backend server."""
-
-    head_bytes: int = 65_536
-    """Bytes of its head and of the interim answers before it."""
-    body_bytes: int = 32_000_000
-    """Bytes of the answer as received."""
-
-
 DEFAULT_LIMITS = AnswerLimits()
 
 
-class BackendConnectionPool:
+class BackendClient:
     """Store idle connections to backend servers and send requests over them."""
 
     def __init__(
@@ -72,12 +54,12 @@
         self._source_host = source_host
         self._names = names
         self._limits = limits
-        self._idle = IdleConnections()
+        self._connections = ConnectionPool()
 
     def send(self, routed: RoutedRequest, destination: Destination) -> SendResult:
         """Send a request to a backend server and read its complete answer."""
         started_at = monotonic()
-        conn = self._idle.take(_endpoint(destination), routed.req.request_id)
+        conn = self._connections.take(_endpoint(destination), routed.req.request_id)
         if conn is None:
             conn = self._connect(destination, routed.remaining())
             if conn is None:
@@ -95,11 +77,11 @@
 
     def close(self) -> None:
         """Close all idle connections."""
-        self._idle.close()
+        self._connections.close()
 
     def close_idle_except(self, endpoints: set[EndpointId]) -> None:
         """Close the idle connections to all endpoints but these."""
-        self._idle.close_except(endpoints)
+        self._connections.close_except(endpoints)
 
     def _connect(self, destination: Destination, timeout: float) -> Connection | None:
         conn = connect(destination.host, destination.port, self._source_host, timeout)
@@ -121,54 +103,34 @@
             return SendResult(
                 SendOutcome.NOT_SENT, monotonic() - started_at, failure=DeadlinePassed()
             )
-        req.answer_memory.clear()
-        limits = ReadLimits(
-            deadline,
-            self._limits.head_bytes,
-            self._limits.body_bytes,
-            req.answer_memory,
-        )
+        limits = self._limits.start(deadline, req.answer_memory)
         expected = ExpectedAnswer(req.method, req.request_id, self._names.request_id)
-        try:
-            complete = self._write_request(conn, req, destination, limits)
-            answer, idle_seconds = read_answer(conn, expected, limits, complete)
-        except CONNECTION_ERRORS as exc:
-            conn.close()
-            outcome, failure = _classify_error(routed, exc)
-            return SendResult(outcome, monotonic() - started_at, failure=failure)
-        result = self._make_result(answer, monotonic() - started_at)
-        if result.end is not SendOutcome.ANSWERED:
-            conn.rejected.add(req.request_id)
-        if complete and idle_seconds > 0:
-            self._idle.put(_endpoint(destination), conn, idle_seconds)
-        else:
-            conn.close()
-        return result
-
-    def _write_request(
-        self,
-        conn: Connection,
-        req: HttpRequest,
-        destination: Destination,
-        limits: ReadLimits,
-    ) -> bool:
-        """Send the request; return whether all of its body was sent."""
         headers = (
             *req.headers,
-            (self._names.deadline_ms, str(int(limits.seconds_left() * 1000))),
+            (self._names.deadline_ms, str(int((deadline - monotonic()) * 1000))),
             (self._names.expected_instance, destination.instance),
         )
-        return write_request(conn, req.method, req.target, headers, req.body, limits)
+        try:
+            answer = self._connections.exchange(
+                _endpoint(destination),
+                conn,
+                BackendRequest(req.method, req.target, headers, req.body),
+                expected,
+                limits,
+            )
+        except EXCHANGE_ERRORS as exc:
+            outcome, failure = _classify_error(routed, exc)
+            return SendResult(outcome, monotonic() - started_at, failure=failure)
+        return self._make_result(answer, monotonic() - started_at)
 
     def _make_result(self, answer: HttpAnswer, seconds: float) -> SendResult:
-        headers = {name.lower(): value for name, value in answer.headers}
-        load = parse_load_report(headers.get(self._names.load_report.lower(), ""))
+        load = parse_load_report(answer.header(self._names.load_report) or "")
         end = SendOutcome.ANSWERED
         if answer.status == MISDIRECTED_STATUS:
             end = SendOutcome.MISDIRECTED
         elif (
-            self._names.not_run.lower() in headers
-            and answer.status in REJECTION_STATUSES
+            answer.status in REJECTION_STATUSES
+            and answer.header(self._names.not_run) is not None
         ):
             end = SendOutcome.REJECTED
         return SendResult(end, seconds, answer, load)
--- a/src/snipecart/gateway/balancing/selection.py
+++ b/src/snipecart/gateway/balancing/selection.py
@@ -24,12 +24,12 @@
 from ...core.ids import ServiceName
 from ...core.registry import Registry
 from ...core.states import EndpointState
+from ...core.token_bucket import TokenBucket
 from ..request import Destination
 from .admission import WAIT_RULES
 from .outcome import late_time
 from .preference import preference_order
 from .server import Server
-from .server import TokenBucket
 from .spillover import SpilloverMeter
 
 if TYPE_CHECKING:
--- a/src/snipecart/gateway/balancing/server.py
+++ b/src/snipecart/gateway/balancing/server.py
@@ -12,6 +12,7 @@
 from ...core.states import ServerCondition
 
 if TYPE_CHECKING:
+    from ...core.token_bucket import TokenBucket
     from ...messages.discovery import Instance
     from ..load_report import LoadReport
     from .slowdown import SlowdownRule
@@ -60,28 +61,6 @@
 )
 
 
-@dataclass
-class TokenBucket:
-    """Limit the rate of requests to a cold backend server."""
-
-    rate: float
-    """Tokens per second."""
-    burst: float
-    """Maximum number of tokens."""
-    tokens: float
-    at: Instant
-    """When ``tokens`` was last updated."""
-
-    def try_acquire(self, now: Instant) -> bool:
-        """Take a token; return False where there is none."""
-        self.tokens = min(self.burst, self.tokens + (now - self.at) * self.rate)
-        self.at = now
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
-
-
 @dataclass(frozen=True)
 class PendingSend:
     """Represent a request of this gateway that has no answer yet."""
--- a/src/snipecart/gateway/factory.py
+++ b/src/snipecart/gateway/factory.py
@@ -18,8 +18,8 @@
 from ..core.task import running
 from ..messages.discovery import Gateway
 from ..program.listener import HttpListener
-from .backends import AnswerLimits
-from .backends import BackendConnectionPool
+from ..upstream.reader import AnswerLimits
+from .backends import BackendClient
 from .balancing.budget import BudgetRule
 from .balancing.link import LinkBudget
 from .balancing.state import BalancerState
@@ -74,7 +74,7 @@
     balancer: BalancerTask
     sync: SyncTask
     watch: WatchTask
-    backends: BackendConnectionPool
+    backends: BackendClient
 
     def apply_settings(self, cfg: GatewaySettings) -> None:
         """Pass LIVE_GATEWAY_SETTINGS of newer settings to the tasks."""
@@ -115,7 +115,7 @@
 def gateway_tasks(cfg: GatewaySettings, names: HeaderNames) -> Iterator[GatewayTasks]:
     """Run the tasks of a gateway and its connection pool until the block ends."""
     limits = AnswerLimits(body_bytes=int(cfg.max_answer_mb * BYTES_PER_MB))
-    backends = BackendConnectionPool(cfg.host, names, limits)
+    backends = BackendClient(cfg.host, names, limits)
     balancer = BalancerTask(make_balancer_state(cfg), backends.close_idle_except)
     sync = SyncTask(make_gateway(cfg), cfg.control, cfg.host, balancer)
     watch = WatchTask()
--- a/src/snipecart/gateway/pipeline.py
+++ b/src/snipecart/gateway/pipeline.py
@@ -39,7 +39,7 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from .backends import BackendConnectionPool
+    from .backends import BackendClient
     from .balancing.task import BalancerTask
     from .request import Destination
     from .request import SendResult
@@ -59,7 +59,7 @@
     """Store the task, the connection pool and the generator that filters use."""
 
     balancer: BalancerTask
-    backends: BackendConnectionPool
+    backends: BackendClient
     rng: Random
 
 
--- a/src/snipecart/gateway/server.py
+++ b/src/snipecart/gateway/server.py
@@ -29,6 +29,7 @@
 from ..core.memory import MemoryBudget
 from ..core.memory import MemoryReservation
 from ..core.memory import reserving
+from ..core.sockets import has_peer_closed
 from ..core.states import DrainState
 from ..core.task import monotonic
 from ..program.answers import HTTP_STATUS
@@ -52,7 +53,6 @@
 from .request import Cancellation
 from .request import FailedRequest
 from .request import HttpRequest
-from .watch import has_disconnected
 
 if TYPE_CHECKING:
     import socket
@@ -72,7 +72,10 @@
 """Longest time that a client may take to send a body."""
 
 WRITE_SECONDS = 30.0
-"""Longest time that a client may take to read an answer."""
+"""Time that a client may take to read an answer, beside that for its bytes."""
+
+MIN_READ_RATE = 10_000
+"""Bytes per second that a client must read of a long answer."""
 
 LEAVING_RETRY_AFTER_SECONDS = 0.1
 """``Retry-After`` of requests that arrive after the gateway stopped accepting."""
@@ -120,7 +123,7 @@
             )
             return
         descriptor = self.req.conn.socket.fileno()
-        if has_disconnected(descriptor):
+        if has_peer_closed(descriptor):
             self._send_failure(ctx, req, FailedRequest(ClientGone(), False))
             return
         with ctx.watch.watching(descriptor, req.cancellation):
@@ -307,7 +310,8 @@
             raw.close_connection = True
         raw.ensure_headers_sent()
         if body and raw.method != b"HEAD":
-            with limited_writes(raw.conn.socket, raw.server.timeout):
+            seconds = WRITE_SECONDS + len(body) / MIN_READ_RATE
+            with socket_timeout(raw.conn.socket, seconds):
                 raw.conn.socket.sendall(body)
 
 
@@ -359,14 +363,17 @@
 
 
 @contextmanager
-def limited_writes(sock: socket.socket, usual_timeout: float) -> Iterator[None]:
-    """Limit the time for all bytes of a write, which a client may read slowly.
+def socket_timeout(sock: socket.socket, seconds: float) -> Iterator[None]:
+    """Change the timeout of a socket until the block ends.
 
-    The connection's own timeout applies to each call, and again after the block.
+    It limits a whole ``sendall``, but only a single ``recv``.
     """
-    sock.settimeout(WRITE_SECONDS)
-    yield
-    sock.settimeout(usual_timeout)
+    usual = sock.gettimeout()
+    sock.settimeout(seconds)
+    try:
+        yield
+    finally:
+        sock.settimeout(usual)
 
 
 @contextmanager
--- a/src/snipecart/gateway/watch.py
+++ b/src/snipecart/gateway/watch.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from ..core.ids import Instant
+from ..core.sockets import PEER_CLOSED_EVENTS
 from ..core.task import Task
 
 if TYPE_CHECKING:
@@ -19,15 +20,6 @@
 POLL_INTERVAL_SECONDS = 0.2
 """Time between two polls of the connections of waiting clients."""
 
-DISCONNECT_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
-
-
-def has_disconnected(descriptor: int) -> bool:
-    """Return whether a client has closed its connection."""
-    poll = select.poll()
-    poll.register(descriptor, select.POLLRDHUP)
-    return any(events & DISCONNECT_EVENTS for _, events in poll.poll(0))
-
 
 @dataclass(frozen=True)
 class WatchConnection:
@@ -84,7 +76,7 @@
             poll.register(descriptor, select.POLLRDHUP)
             by_descriptor.setdefault(descriptor, []).append(cancellation)
         for descriptor, events in poll.poll(0):
-            if events & DISCONNECT_EVENTS:
+            if events & PEER_CLOSED_EVENTS:
                 for cancellation in by_descriptor[descriptor]:
                     self._watched.pop(cancellation, None)
                     cancellation.cancel()
--- a/src/snipecart/messages/discovery.py
+++ b/src/snipecart/messages/discovery.py
@@ -147,7 +147,7 @@
 
 
 @record
-class Repeated:
+class RepeatedHeartbeat:
     """Forward a heartbeat that only shows that a backend server is alive."""
 
     instance: InstanceId
@@ -166,4 +166,4 @@
     heard: tuple[Heard, ...]
     run: str = ""
     """Id of the sender's run; a new one tells that the sender has started again."""
-    repeated: tuple[Repeated, ...] = ()
+    repeated: tuple[RepeatedHeartbeat, ...] = ()
--- a/src/snipecart/program/reload.py
+++ b/src/snipecart/program/reload.py
@@ -43,13 +43,16 @@
         """Return whether the file has other content than when it was last loaded."""
         return self._read_file() != self._content
 
-    def reload(self) -> None:
-        """Apply the file's settings; keep those in force if it is malformed."""
+    def reload(self) -> bool:
+        """Apply the file's settings; keep those in force if it is malformed.
+
+        Return whether they were applied.
+        """
         self._content = self._read_file()
         loaded = self._load()
         if loaded.is_error():
             emit(SETTINGS_REFUSED, faults=describe_faults(loaded.error))
-            return
+            return False
         before, self._current = self._current, loaded.ok
         for name in type(before).model_fields:
             old, new = getattr(before, name), getattr(loaded.ok, name)
@@ -62,3 +65,4 @@
                     in_force=name in self._live,
                 )
         self._apply(loaded.ok)
+        return True
--- a/src/snipecart/program/run.py
+++ b/src/snipecart/program/run.py
@@ -124,9 +124,8 @@
     if not signalled.is_set() and not (reloader and reloader.has_changed()):
         return
     signalled.clear()
-    if reloader is not None:
-        reloader.reload()
-    emit(SETTINGS_RELOADED, program=name, taken=reloader is not None)
+    taken = reloader is not None and reloader.reload()
+    emit(SETTINGS_RELOADED, program=name, taken=taken)
 
 
 def run_until_stopped(
--- a/src/snipecart/program/server.py
+++ b/src/snipecart/program/server.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import select
 import socket
 import threading
 from contextlib import suppress
@@ -22,6 +21,7 @@
 from ..core.events import HEAD_TIMED_OUT
 from ..core.events import emit
 from ..core.ids import Instant
+from ..core.sockets import has_peer_closed
 from ..core.task import monotonic
 
 HEAD_TIMEOUT_SECONDS = 10.0
@@ -67,11 +67,13 @@
     bytes_left: int = MAX_DISCARDED_BYTES
 
 
-class TimedConnection(HTTPConnection):
-    """Represent a client's connection, and when its latest request arrived."""
+class ClientConnection(HTTPConnection):
+    """Represent a client's connection between its requests and in their queue."""
 
     head_at = Instant(0.0)
     """When the head of the latest request was complete, before it had a thread."""
+    discarded: DiscardedInput | None = None
+    """Set once the rest of a rejected request is to be discarded."""
 
 
 class Wakeup:
@@ -108,18 +110,16 @@
     The received bytes stay in the socket until a thread reads them.
     """
 
-    ConnectionClass = TimedConnection
+    ConnectionClass = ClientConnection
     head_timeout = HEAD_TIMEOUT_SECONDS
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._wakeup: Wakeup | None = None
-        self._partial: WeakKeyDictionary[HTTPConnection, PartialHead] = (
-            WeakKeyDictionary()
-        )
-        self._discarding: WeakKeyDictionary[HTTPConnection, DiscardedInput] = (
+        self._partial: WeakKeyDictionary[ClientConnection, PartialHead] = (
             WeakKeyDictionary()
         )
+        """Connections without a complete head, those that have waited longest first."""
 
     def stop_accepting(self) -> None:
         """Close the listening socket once all waiting connections are accepted.
@@ -157,7 +157,7 @@
                 self.process_conn(conn)
         self.socket.close()
 
-    def discard_input(self, conn: HTTPConnection) -> None:
+    def discard_input(self, conn: ClientConnection) -> None:
         """Discard what still arrives on a connection that its thread gives back.
 
         Closing a connection with unread bytes resets it, and the client would not get
@@ -166,9 +166,9 @@
         with suppress(OSError):
             conn.socket.shutdown(socket.SHUT_WR)
         end = Instant(monotonic() + DISCARD_SECONDS)
-        self._discarding[conn] = DiscardedInput(end)
+        conn.discarded = DiscardedInput(end)
 
-    def process_conn(self, conn: HTTPConnection | Wakeup) -> None:
+    def process_conn(self, conn: ClientConnection | Wakeup) -> None:
         """Queue a connection with a complete head for a thread, or wait for the rest.
 
         Close it once the client has closed it or was too slow. A thread also gets what
@@ -180,8 +180,8 @@
         if isinstance(conn, Wakeup):
             conn.close()
             return
-        if conn in self._discarding:
-            self._discard(conn, self._discarding[conn])
+        if conn.discarded is not None:
+            self._discard(conn, conn.discarded)
             return
         if conn.rfile.has_data():
             self._queue_for_thread(conn)
@@ -193,19 +193,19 @@
             self._queue_for_thread(conn)
         elif received is None or len(received) > before.size:
             self._wait_for_more(conn, before, received or b"")
-        elif received and not _is_closed_by_peer(conn):
+        elif received and not has_peer_closed(conn.socket.fileno()):
             # The system doesn't know low water marks: a thread reads the rest.
             self._queue_for_thread(conn)
         else:
             self._partial.pop(conn, None)
             conn.close()
 
-    def _queue_for_thread(self, conn: TimedConnection) -> None:
+    def _queue_for_thread(self, conn: ClientConnection) -> None:
         self._partial.pop(conn, None)
         conn.head_at = monotonic()
         super().process_conn(conn)
 
-    def _discard(self, conn: HTTPConnection, discarded: DiscardedInput) -> None:
+    def _discard(self, conn: ClientConnection, discarded: DiscardedInput) -> None:
         """Discard what has arrived; close a connection that has had its time."""
         while conn.rfile.has_data():
             conn.rfile.read1(MAX_HEAD_BYTES)
@@ -219,12 +219,11 @@
             discarded.bytes_left -= len(piece)
         spent = discarded.bytes_left < 0 or monotonic() > discarded.until
         if piece == b"" or spent:
-            del self._discarding[conn]
             conn.close()
         else:
             self.put_conn(conn)
 
-    def _peek(self, conn: HTTPConnection) -> bytes | None:
+    def _peek(self, conn: ClientConnection) -> bytes | None:
         """Return the received bytes without consuming them; None if there are none yet.
 
         The result is empty if the client has closed the connection.
@@ -239,7 +238,7 @@
             return b""
 
     def _wait_for_more(
-        self, conn: HTTPConnection, head: PartialHead, received: bytes
+        self, conn: ClientConnection, head: PartialHead, received: bytes
     ) -> None:
         """Wait until further bytes of a head arrive, unless it takes too long."""
         now = monotonic()
@@ -273,19 +272,13 @@
     return END_OF_HEAD in received or len(received) >= limit
 
 
-def _is_closed_by_peer(conn: HTTPConnection) -> bool:
-    poll = select.poll()
-    poll.register(conn.socket.fileno(), select.POLLRDHUP)
-    return bool(poll.poll(0))
-
-
-def _set_low_water_mark(conn: HTTPConnection, size: int) -> None:
+def _set_low_water_mark(conn: ClientConnection, size: int) -> None:
     """Let the socket count as readable once it holds this many bytes."""
     with suppress(OSError):
         conn.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVLOWAT, size)
 
 
-def _close_with_timeout(conn: HTTPConnection) -> None:
+def _close_with_timeout(conn: ClientConnection) -> None:
     """Answer 408, since nothing was run, and close the connection.
 
     Read what has arrived: a close with unread bytes would reset the connection.
--- a/src/snipecart/upstream/answers.py
+++ b/src/snipecart/upstream/answers.py
@@ -9,6 +9,8 @@
 from email.errors import MissingHeaderBodySeparatorDefect
 from typing import TYPE_CHECKING
 
+from urllib3.exceptions import HTTPError
+
 from ..core.failures import AnswerMalformed
 from ..core.failures import AnswerNotOwn
 from ..core.failures import AnswerTooLarge
@@ -29,6 +31,9 @@
 MAX_FOREIGN_ANSWERS = 1
 """Answers to other requests that may precede the expected one."""
 
+EXCHANGE_ERRORS = (http.client.HTTPException, HTTPError, OSError, ValueError)
+"""Errors that end an exchange without a complete own answer."""
+
 HEAD_DEFECTS = (
     FirstHeaderLineIsContinuationDefect,
     MalformedHeaderDefect,
@@ -46,6 +51,11 @@
     """End-to-end headers."""
     body: bytes
 
+    def header(self, name: str) -> str | None:
+        """Return the last value of a header; None if the answer has none."""
+        values = [value for key, value in self.headers if key.lower() == name.lower()]
+        return values[-1] if values else None
+
 
 @dataclass(frozen=True)
 class ExpectedAnswer:
@@ -66,13 +76,13 @@
     conn: Connection,
     expected: ExpectedAnswer,
     limits: ReadLimits,
-    request_complete: bool = True,
+    request_complete: bool,
 ) -> tuple[HttpAnswer, float]:
     """Return the complete answer and the seconds the connection may stay idle.
 
-    Skip interim answers and, after a complete request, MAX_FOREIGN_ANSWERS to other
-    requests. Raise AnswerRejected, OSError or HTTPException if no complete own answer
-    follows.
+    These are 0 if the connection must be closed. Skip interim answers and, after a
+    complete request, MAX_FOREIGN_ANSWERS to other requests. Raise one of
+    EXCHANGE_ERRORS if no complete own answer follows.
     """
     conn.sock.reader.start_answer(limits)
     raw = http.client.HTTPConnection.getresponse(conn.http)
@@ -84,7 +94,8 @@
             answer = HttpAnswer(
                 raw.status, raw.reason, end_to_end(raw.getheaders()), body
             )
-            return answer, 0.0 if foreign else _idle_seconds(conn, raw)
+            usable = request_complete and not foreign
+            return answer, _idle_seconds(conn, raw) if usable else 0.0
         foreign += raw.status >= http.client.OK
         if foreign > MAX_FOREIGN_ANSWERS * request_complete:
             raise AnswerRejected(AnswerNotOwn())
--- a/src/snipecart/upstream/connection.py
+++ b/src/snipecart/upstream/connection.py
@@ -6,7 +6,6 @@
 import socket
 from dataclasses import dataclass
 from dataclasses import field
-from typing import TYPE_CHECKING
 
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ConnectTimeoutError
@@ -16,9 +15,6 @@
 from ..wire.frames import keep_alive_options
 from .reader import KeepAliveSocket
 
-if TYPE_CHECKING:
-    from ..core.ids import RequestId
-
 CONNECT_TIMEOUT_SECONDS = 0.5
 """Timeout of opening a connection."""
 
@@ -33,8 +29,8 @@
     """Instant until which the idle connection may be reused."""
     reused: bool = False
     """Whether an earlier request was answered on the connection."""
-    rejected: set[RequestId] = field(default_factory=set)
-    """Requests that the backend server rejected on the connection."""
+    failed: set[str] = field(default_factory=set)
+    """Ids of requests that the backend server answered with a failure."""
 
     def close(self) -> None:
         """Close the connection."""
--- a/src/snipecart/upstream/reader.py
+++ b/src/snipecart/upstream/reader.py
@@ -65,6 +65,21 @@
             raise AnswerRejected(AnswerMemoryFull())
 
 
+@dataclass(frozen=True)
+class AnswerLimits:
+    """Limit the size of one answer of a backend server."""
+
+    head_bytes: int = 65_536
+    """Bytes of its head and of the interim answers before it."""
+    body_bytes: int = 32_000_000
+    """Bytes of the answer as received."""
+
+    def start(self, deadline: Instant, reservation: MemoryReservation) -> ReadLimits:
+        """Return the limits of one exchange, which reserves its own memory."""
+        reservation.clear()
+        return ReadLimits(deadline, self.head_bytes, self.body_bytes, reservation)
+
+
 class KeepAliveReader(io.BufferedIOBase):
     """Buffer the bytes of a socket across several answers.
 
--- a/src/snipecart/upstream/requests.py
+++ b/src/snipecart/upstream/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import select
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from urllib3._collections import HTTPHeaderDict
@@ -33,31 +34,34 @@
 """Headers that urllib3 would add."""
 
 
-def write_request(
-    conn: Connection,
-    method: str,
-    target: str,
-    headers: Pairs,
-    body: bytes,
-    limits: ReadLimits,
-) -> bool:
+@dataclass(frozen=True)
+class BackendRequest:
+    """Store a request as it is sent to a backend server."""
+
+    method: str
+    target: str
+    headers: Pairs
+    body: bytes
+
+
+def write_request(conn: Connection, req: BackendRequest, limits: ReadLimits) -> bool:
     """Send a request; return whether all of its body was sent."""
     fields = HTTPHeaderDict()
-    for name, value in headers:
+    for name, value in req.headers:
         fields.add(name, value)
     for name in LIBRARY_HEADERS:
         if name not in fields:
             fields[name] = SKIP_HEADER
     sender = None
-    if len(body) > SEND_PIECE_BYTES:
-        fields["Content-Length"] = str(len(body))
-        sender = BodySender(conn, body, limits)
+    if len(req.body) > SEND_PIECE_BYTES:
+        fields["Content-Length"] = str(len(req.body))
+        sender = BodySender(conn, req.body, limits)
     conn.http.timeout = limits.seconds_left()
     conn.http.sock = conn.sock
     conn.http.request(
-        method,
-        target,
-        body=sender or body or None,
+        req.method,
+        req.target,
+        body=sender or req.body or None,
         headers=fields,
         preload_content=False,
         decode_content=False,
--- a/src/snipecart/wire/schema.capnp
+++ b/src/snipecart/wire/schema.capnp
@@ -103,9 +103,9 @@
 struct InstanceSeen { gateway @0 :Text; instance @1 :Text; sequence @2 :UInt64; }
 struct RoutingChanged { routingVersion @0 :UInt64; evacuationIndex @1 :UInt64; }
 struct Heard { instance @0 :Instance; gone @1 :Bool; }
-struct Repeated { instance @0 :Text; born @1 :UInt64; sequence @2 :UInt64; }
+struct RepeatedHeartbeat { instance @0 :Text; born @1 :UInt64; sequence @2 :UInt64; }
 struct Gossip {
-  sender @0 :Text; heard @1 :List(Heard); run @2 :Text; repeated @3 :List(Repeated);
+  sender @0 :Text; heard @1 :List(Heard); run @2 :Text; repeated @3 :List(RepeatedHeartbeat);
 }
 
 struct Envelope {
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 
+from snipecart.control.discovery.change_feed import FULL_SYNC_SERVERS_PER_SECOND
 from snipecart.control.discovery.gateways import LookupIndex
 from snipecart.control.discovery.table import SILENCE_TIMEOUT
 from snipecart.control.discovery.table import InstanceTable
@@ -21,7 +22,7 @@
 from snipecart.messages.discovery import Heard
 from snipecart.messages.discovery import InstanceChanged
 from snipecart.messages.discovery import InstanceSeen
-from snipecart.messages.discovery import Repeated
+from snipecart.messages.discovery import RepeatedHeartbeat
 from snipecart.messages.discovery import SyncRequest
 from snipecart.wire.links import IncomingMessage
 from tests.gateway.world import make_instance
@@ -336,7 +337,7 @@
         bool(control.send_request(make_request(f"g{at}"), 50.5).instances)
         for at in range(10)
     ]
-    assert 4 <= sum(listed) <= 5
+    assert sum(listed) == FULL_SYNC_SERVERS_PER_SECOND / 1000
     control.receive_gossip(51.5, "c2")
     assert control.send_request(make_request("g9"), 51.5).instances
 
@@ -495,12 +496,12 @@
     control.send_update(stored, 50.0)
     for step in range(30):
         now = Instant(50.5 + step / 2)
-        repeated = Repeated(stored.instance, 1, 5 + step)
+        repeated = RepeatedHeartbeat(stored.instance, 1, 5 + step)
         control.task.handle(
             [IncomingMessage(Gossip("c2", (), "", (repeated,)), print)], now
         )
     assert control.task.instances.live[stored.instance].instance.sequence == 4
-    other_run = Repeated(stored.instance, 2, 99)
+    other_run = RepeatedHeartbeat(stored.instance, 2, 99)
     for step in range(20):
         now = Instant(66.0 + step / 2)
         control.task.handle(
--- a/tests/control/test_fleet_start.py
+++ b/tests/control/test_fleet_start.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from snipecart.control.raft.timing import LEASE_DURATION
 from tests.control.fleet_simulation import FleetSimulation
 
 CONTROLS, GATEWAYS, SERVERS = 15, 74, 406
@@ -52,16 +53,13 @@
     assert len(passes) <= requests / CONTROLS
 
 
-MAX_BACKLOG_SECONDS = 0.5
-"""Work that may wait at a control process, which also takes part in the log."""
-
-
 def test_gateways_that_know_only_the_seeds_do_not_overload_them(monkeypatch):
+    """Test that a seed never lags by a leader's lease, and lists each server once."""
     fleet = FleetSimulation(monkeypatch, CONTROLS, GATEWAYS, SERVERS, seeds=3)
     backlogs = []
     for _ in range(30):
         fleet.run(0.2)
         backlogs.append(fleet.backlog())
-    assert max(backlogs) < MAX_BACKLOG_SECONDS
+    assert max(backlogs) < LEASE_DURATION
     assert fleet.ready_gateways() == GATEWAYS
-    assert max(fleet.listed.values()) < GATEWAYS * SERVERS
+    assert sum(fleet.listed.values()) <= GATEWAYS * SERVERS
--- a/tests/control/test_log.py
+++ b/tests/control/test_log.py
@@ -13,28 +13,23 @@
 from .schedules import SCHEDULES
 from .schedules import run_schedule
 
-
-@settings(
-    max_examples=2000,
+SIMULATION = settings(
     derandomize=True,
     deadline=None,
     database=None,
     phases=(Phase.explicit, Phase.generate),
     suppress_health_check=list(HealthCheck),
 )
+"""Settings of simulated schedules, which CI plays the same each time."""
+
+
+@settings(SIMULATION, max_examples=2000)
 @given(schedule=SCHEDULES, seed=st.integers(0, 2**32))
 def test_promises_hold_under_faults(schedule, seed):
     run_schedule(Cluster(seed), schedule)
 
 
-@settings(
-    max_examples=500,
-    derandomize=True,
-    deadline=None,
-    database=None,
-    phases=(Phase.explicit, Phase.generate),
-    suppress_health_check=list(HealthCheck),
-)
+@settings(SIMULATION, max_examples=500)
 @given(schedule=DISK_SCHEDULES, seed=st.integers(0, 2**32))
 def test_promises_hold_while_disks_are_full(schedule, seed):
     run_schedule(Cluster(seed), schedule)
--- a/tests/entry/test_backend.py
+++ b/tests/entry/test_backend.py
@@ -11,6 +11,7 @@
 from snipecart.core.states import DispatchOutcome
 from snipecart.entry import backend
 from snipecart.entry.backend import BackendClient
+from snipecart.upstream.reader import AnswerLimits
 from tests.upstream.scripted import CLOSE
 from tests.upstream.scripted import scripted_server
 
@@ -91,7 +92,7 @@
 
 
 def test_an_endless_answer_ends_at_the_size_limit(monkeypatch):
-    monkeypatch.setattr(backend, "MAX_ANSWER_BYTES", 200_000)
+    monkeypatch.setattr(backend, "ANSWER_LIMITS", AnswerLimits(body_bytes=200_000))
     chunk = b"1000\r\n" + b"x" * 4096 + b"\r\n"
     chunked = OWN + b"Transfer-Encoding: chunked\r\n\r\n"
     with scripted_server(itertools.chain([chunked], itertools.repeat(chunk))) as server:
@@ -102,3 +103,12 @@
     with scripted_server() as server:
         pass
     assert dispatch(server).end is DispatchOutcome.NOT_SENT
+
+
+def test_a_call_is_not_repeated_on_the_connection_of_its_own_rejection():
+    client = BackendClient("127.0.0.1")
+    own_shed = SHED.replace(b"Full\r\n", b"Full\r\nSnipecart-Call: c1\r\n")
+    with scripted_server([own_shed], [OWN + WHOLE]) as server:
+        assert dispatch(server, client).end is DispatchOutcome.SHED
+        assert dispatch(server, client).end is DispatchOutcome.ANSWERED
+        assert server.connections == 2
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -10,7 +10,7 @@
 
 from snipecart.core.states import SendOutcome
 from snipecart.core.task import monotonic
-from snipecart.gateway.backends import BackendConnectionPool
+from snipecart.gateway.backends import BackendClient
 from snipecart.gateway.load_report import LoadReport
 from snipecart.gateway.request import Cancellation
 from snipecart.gateway.request import Destination
@@ -61,7 +61,7 @@
 
 def send(server, routed=None, backends=None):
     destination = Destination("racks", "i-1", "127.0.0.1", server.port, 0)
-    backends = backends or BackendConnectionPool("127.0.0.1", NAMES)
+    backends = backends or BackendClient("127.0.0.1", NAMES)
     return backends.send(routed or make_routed(), destination)
 
 
@@ -124,7 +124,7 @@
 
 
 def test_connections_are_reused_unless_stray_bytes_follow_an_answer():
-    backends = BackendConnectionPool("127.0.0.1", NAMES)
+    backends = BackendClient("127.0.0.1", NAMES)
     with scripted_server(
         [answer()], [answer(), answer(b"stray")], [answer()]
     ) as server:
@@ -175,7 +175,7 @@
 
 
 def test_an_answer_before_the_body_is_read_is_returned_immediately():
-    backends = BackendConnectionPool("127.0.0.1", NAMES)
+    backends = BackendClient("127.0.0.1", NAMES)
     routed = make_routed(seconds=5.0, method="POST", body=b"b" * 20_000_000)
     with scripted_server([answer()], [answer()], reads_bodies=False) as server:
         started_at = time.monotonic()
@@ -199,13 +199,13 @@
     routed = make_routed(seconds=5.0, method="POST", body=b"b" * 40_000_000)
     destination = Destination("racks", "i-1", *listener.getsockname(), 0)
     started_at = time.monotonic()
-    result = BackendConnectionPool("127.0.0.1", NAMES).send(routed, destination)
+    result = BackendClient("127.0.0.1", NAMES).send(routed, destination)
     assert result.answer.body == b"whole"
     assert time.monotonic() - started_at < 2.0
 
 
 def test_a_long_body_arrives_whole_and_its_connection_is_kept():
-    backends = BackendConnectionPool("127.0.0.1", NAMES)
+    backends = BackendClient("127.0.0.1", NAMES)
     body = bytes(range(256)) * 20_000
     routed = make_routed(seconds=5.0, method="POST", body=body)
     with scripted_server([answer()], [answer()]) as server:
--- a/tests/gateway/test_body_streams.py
+++ b/tests/gateway/test_body_streams.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies as st
 
 from snipecart.core.failures import BadCall
+from snipecart.core.failures import BodyMemoryFull
 from snipecart.core.ids import Instant
 from snipecart.core.memory import MemoryBudget
 from snipecart.core.memory import reserving
@@ -89,4 +90,7 @@
         size = data.draw(st.integers(0, 3))
         stream[at : at + size] = data.draw(st.binary(max_size=4))
     result, _ = read(data.draw(torn(bytes(stream))), framing)
-    assert result.is_ok() or result.error.reason
+    if result.is_error():
+        assert isinstance(result.error, (BadCall, BodyMemoryFull))
+    elif not framing.chunked:
+        assert len(result.ok) == framing.length
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -14,9 +14,9 @@
 from snipecart.core.memory import MemoryBudget
 from snipecart.core.memory import MemoryReservation
 from snipecart.core.states import SendOutcome
-from snipecart.gateway.backends import AnswerLimits
-from snipecart.gateway.backends import BackendConnectionPool
+from snipecart.gateway.backends import BackendClient
 from snipecart.gateway.metrics import ANSWER_BYTES
+from snipecart.upstream.reader import AnswerLimits
 from tests.upstream.scripted import CLOSE
 from tests.upstream.scripted import scripted_server
 
@@ -78,7 +78,7 @@
 
 @pytest.mark.parametrize("case", ENDLESS)
 def test_a_send_ends_by_its_deadline_in_bounded_memory(case):
-    backends = BackendConnectionPool("127.0.0.1", NAMES, LIMITS)
+    backends = BackendClient("127.0.0.1", NAMES, LIMITS)
     routed = make_routed(seconds=SECONDS)
     with scripted_server(ENDLESS[case]) as server:
         started_at = time.monotonic()
@@ -98,7 +98,7 @@
     ],
 )
 def test_an_answer_over_a_limit_has_its_own_failure(script):
-    backends = BackendConnectionPool("127.0.0.1", NAMES, LIMITS)
+    backends = BackendClient("127.0.0.1", NAMES, LIMITS)
     with scripted_server(script) as server:
         result = send(server, backends=backends)
     assert result.end is SendOutcome.BROKEN
@@ -139,7 +139,7 @@
 
 
 def test_interim_answers_are_skipped_and_the_connection_is_kept():
-    backends = BackendConnectionPool("127.0.0.1", NAMES)
+    backends = BackendClient("127.0.0.1", NAMES)
     script = [CONTINUE, EARLY_HINTS, answer()]
     with scripted_server(script, [answer()]) as server:
         for _ in range(2):
@@ -153,7 +153,7 @@
 
 
 def test_a_refusal_without_id_is_believed_on_a_new_connection_only():
-    backends = BackendConnectionPool("127.0.0.1", NAMES)
+    backends = BackendClient("127.0.0.1", NAMES)
     with scripted_server([answer()], [REFUSAL, answer()], [REFUSAL]) as server:
         assert send(server, backends=backends).end is SendOutcome.ANSWERED
         running = send(server, backends=backends)
@@ -163,7 +163,7 @@
 
 @pytest.mark.parametrize("repeated", [REFUSAL, OWN_REFUSAL.replace(b"r1", b"r0")])
 def test_a_repeated_refusal_never_counts_as_not_run(repeated):
-    backends = BackendConnectionPool("127.0.0.1", NAMES)
+    backends = BackendClient("127.0.0.1", NAMES)
     with scripted_server([answer()], [repeated, repeated, CLOSE]) as server:
         send(server, backends=backends)
         result = send(server, backends=backends)
@@ -172,7 +172,7 @@
 
 
 def test_a_request_is_not_repeated_on_the_connection_of_its_own_refusal():
-    backends = BackendConnectionPool("127.0.0.1", NAMES)
+    backends = BackendClient("127.0.0.1", NAMES)
     with scripted_server([OWN_REFUSAL], [answer()]) as server:
         assert send(server, backends=backends).end is SendOutcome.REJECTED
         assert send(server, backends=backends).end is SendOutcome.ANSWERED
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -202,6 +202,7 @@
 
 def test_clients_that_do_not_read_their_answers_are_closed(monkeypatch):
     monkeypatch.setattr(server_module, "WRITE_SECONDS", 0.3)
+    monkeypatch.setattr(server_module, "MIN_READ_RATE", 1e9)
     body = b"x" * 20_000_000
     with gateway_server(body_memory=200_000_000) as pipeline, ExitStack() as stack:
         for _ in range(THREADS):
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -297,4 +297,12 @@
     wait_for(lambda: any(line["event"] == 1010 for line in fleet.log("entry-1")), 5.0)
     path.write_text(original)
     wait_for(lambda: len(changes()) == 2, 5.0)
+    wait_for(
+        lambda: (
+            [line["taken"] for line in fleet.log("entry-1") if line["event"] == 1008][
+                -3:
+            ]
+            == [True, False, True]
+        )
+    )
     assert fleet.request("entry-1").status == 200
--- a/tests/upstream/test_answers.py
+++ b/tests/upstream/test_answers.py
@@ -2,26 +2,25 @@
 
 from __future__ import annotations
 
-import http.client
 from enum import Enum
 
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError
 
 from snipecart.core.ids import Instant
 from snipecart.core.memory import unlimited_reservation
 from snipecart.core.task import monotonic
+from snipecart.upstream.answers import EXCHANGE_ERRORS
 from snipecart.upstream.answers import ExpectedAnswer
 from snipecart.upstream.answers import read_answer
 from snipecart.upstream.connection import Connection
 from snipecart.upstream.reader import KeepAliveSocket
 from snipecart.upstream.reader import ReadLimits
+from snipecart.upstream.requests import BackendRequest
 from snipecart.upstream.requests import write_request
 
-EXPECTED_ERRORS = (http.client.HTTPException, HTTPError, OSError, ValueError)
 HEAD_BYTES, BODY_BYTES = 4_096, 65_536
 OWN_BODY = b"the own answer"
 
@@ -72,10 +71,11 @@
     limits = ReadLimits(
         Instant(monotonic() + 60.0), HEAD_BYTES, BODY_BYTES, reservation
     )
-    write_request(conn, "GET", "/", (("Host", "h"),), b"", limits)
+    req = BackendRequest("GET", "/", (("Host", "h"),), b"")
+    write_request(conn, req, limits)
     try:
-        answer, _ = read_answer(conn, ExpectedAnswer("GET", "r1", "Id"), limits)
-    except EXPECTED_ERRORS:
+        answer, _ = read_answer(conn, ExpectedAnswer("GET", "r1", "Id"), limits, True)
+    except EXCHANGE_ERRORS:
         return None
     finally:
         assert reservation.reserved <= BODY_BYTES
