--- a/tests/control/fleet_simulation.py
+++ b/tests/control/fleet_simulation.py
@@ -55,7 +55,7 @@
     fleet = None
 
     def __init__(self, name, host, port, source, sink):
-        self.name, self.sink = name, sink
+        self.name, self.source, self.sink = name, source, sink
 
     def start(self):
         """Do nothing."""
@@ -65,11 +65,13 @@
 
     def post(self, envelope):
         """Send a message, and pass the answers back."""
-        self.fleet.send_to_control(self.name, envelope.message, self.answer)
+        if self.fleet.is_connected(self.source, self.name):
+            self.fleet.send_to_control(self.name, envelope.message, self.answer)
 
     def answer(self, message):
         """Return an answer to the gateway."""
-        self.fleet.send_to_gateway(self.sink, message)
+        if self.fleet.is_connected(self.source, self.name):
+            self.fleet.send_to_gateway(self.sink, message)
 
 
 class FleetSimulation:
@@ -92,7 +94,7 @@
             f"c{at}": self._make_control(f"c{at}") for at in range(controls)
         }
         nodes = tuple(Node(f"{vm}/1", vm, vm, 1) for vm in self.control)
-        routing = dump_routing(make_routing(make_route()))
+        routing = dump_routing(self.make_routing())
         self.listed = Counter()
         """Servers in the answers of each control process."""
         self._busy_until = dict.fromkeys(self.control, START) if seeds else None
@@ -115,6 +117,10 @@
             delay = HEARTBEAT_INTERVAL * number / servers
             self.after(delay, self._send_heartbeat, number, 1, number)
 
+    def make_routing(self):
+        """Return the routing table in force."""
+        return make_routing(make_route())
+
     def _make_control(self, vm):
         task = DiscoveryTask(vm, lambda message: self._gossip(vm, message), 1.5)
         task.started_at = task._last_run_at = Instant(self.now)
@@ -127,11 +133,15 @@
         gateway = Gateway(
             f"g{at}", f"vm{at}", "north", "north-a", f"g{at}:1", MemberState.STARTING
         )
-        task = SyncTask(gateway, seeds, "h", balancer)
+        task = SyncTask(gateway, seeds, gateway.vm, balancer)
         task.post = lambda message: self._deliver("gateway", task, message)
         task._update_links(())
         return task
 
+    def is_connected(self, one, other):
+        """Return whether messages pass between two VMs."""
+        return True
+
     def after(self, seconds, callback, *args):
         """Schedule a call."""
         item = (self.now + seconds, next(self._sequence), callback, args)
@@ -178,7 +188,7 @@
 
     def _gossip(self, sender, message):
         for vm in self.control:
-            if vm != sender:
+            if vm != sender and self.is_connected(sender, vm):
                 self.send_to_control(vm, message, lambda answer: None)
 
     def _deliver(self, role, task, message):
@@ -199,7 +209,7 @@
     def _send_heartbeat(self, number, sequence, target):
         """Send a heartbeat; where it is refused, try the next control process."""
         vms = list(self.control)
-        instance = make_instance(number, sequence=sequence)
+        instance = self.make_instance(number, sequence)
         replies = []
         update = InstanceUpdate(instance, False, replies.append)
         self._deliver("control", self.control[vms[target % len(vms)]], update)
@@ -211,6 +221,10 @@
             HEARTBEAT_INTERVAL, self._send_heartbeat, number, sequence + 1, target
         )
 
+    def make_instance(self, number, sequence):
+        """Return a backend server as it describes itself in a heartbeat."""
+        return make_instance(number, sequence=sequence)
+
     def ready_gateways(self):
         """Return how many gateways are ready."""
         return sum(task.ready for task in self.gateways)
