Lease the rate of a cold server to a few gateways instead of one request to each

Cause: each gateway had its own bucket for a cold server, which began full and was filled again whenever the count of gateways changed. So a server got a request from every gateway at once, whatever its rate; after that each gateway's part of the rate was so small that most of the rate stayed unused. The class: a limit on a sum over all gateways that each keeps by itself, with a burst of its own.

Ruled out: a count that is too low and retries (the ten gateways whose logs name the flooded server sent it one request each, their first). An even split with empty buckets: it stays within the rate but uses a fraction of it. A split by one leader: every grant would depend on one process.

Change: control processes lease the rate of a cold server to four gateways at most, by rendezvous hashing of server and VM, weighted by the requests that each gateway gets. Leases come with the answers to the gateways' requests, hold for 1.5 s from the request, and only a process in contact with a majority gives any. A gateway without a lease sends nothing. A silent gateway keeps its place for 3 s, until its leases have ended. A bucket keeps its tokens when its rate changes. Servers whose rate is used up are left out before servers are compared; if no other is left, the request is refused at once (rate_limited).

--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -131,7 +131,7 @@
 def make_answer(servers: int) -> SyncAnswer:
     """Return the answer to a sync request with all backend servers."""
     instances = tuple(make_instance(number) for number in range(servers))
-    return SyncAnswer("s", 9, True, instances, (), 1, b"", 0, (), (), 0, 7, True)
+    return SyncAnswer("s", 9, True, instances, (), 1, b"", 0, (), (), 0, 7, True, False)
 
 
 @register_slope("complete answer to a gateway on the wire", "bytes", 36, 108, 234, 930)
--- a/src/snipecart/control/discovery/gateways.py
+++ b/src/snipecart/control/discovery/gateways.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from ...core.states import MemberState
+from ...messages.discovery import RATE_LEASE_DURATION
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,6 +22,7 @@
     from ...core.ids import ZoneName
     from ...messages.discovery import Gateway
     from ...messages.discovery import InstanceSeen
+    from ...messages.discovery import SyncRequest
 
 LIVE_TIMEOUT = 1.7
 """Seconds after its last sync request for which a gateway must confirm changes.
@@ -35,6 +37,13 @@
 CONTACT_TIMEOUT = 1.0
 """Seconds after its last gossip for which a control process counts as reachable."""
 
+SHARE_TIMEOUT = CONTACT_TIMEOUT + RATE_LEASE_DURATION + 0.5
+"""Seconds after its last sync request for which a gateway keeps its rate shares.
+
+By then its leases have ended, also where only an isolated control process still heard
+from it, which goes on for CONTACT_TIMEOUT. The rest allows for one request.
+"""
+
 CONFIRMATION_TIMEOUT = 0.7
 """Seconds that an update waits for the confirmations of the gateways."""
 
@@ -46,6 +55,8 @@
     gateway: Gateway
     last_sync_at: Instant
     push: Callable[[Any], None]
+    requests_per_s: int = 1
+    """Requests that it gets from clients, rounded."""
     differs_at: int = -1
     """Revision at which its servers differed in its last request; -1 if they didn't."""
 
@@ -77,17 +88,21 @@
     gateways: dict[MemberId, RegisteredGateway] = field(default_factory=dict)
 
     def record_sync(
-        self, gateway: Gateway, push: Callable[[Any], None], now: Instant
+        self, sync: SyncRequest, push: Callable[[Any], None], now: Instant
     ) -> None:
         """Record a sync request, and remove earlier gateway runs on the same VM."""
+        gateway, requests_per_s = sync.gateway, sync.requests_per_s
         known = self.gateways.get(gateway.gateway)
         if known is not None:
             known.gateway, known.last_sync_at, known.push = gateway, now, push
+            known.requests_per_s = requests_per_s
             return
         for other in list(self.gateways.values()):
             if other.gateway.vm == gateway.vm:
                 del self.gateways[other.gateway.gateway]
-        self.gateways[gateway.gateway] = RegisteredGateway(gateway, now, push)
+        self.gateways[gateway.gateway] = RegisteredGateway(
+            gateway, now, push, requests_per_s
+        )
 
     def differs_again(self, gateway: MemberId, revision: int, differs: bool) -> bool:
         """Record whether a gateway's servers differ although it has a revision.
--- a/src/snipecart/control/discovery/table.py
+++ b/src/snipecart/control/discovery/table.py
@@ -181,6 +181,12 @@
             if tombstone.revision > revision:
                 yield Change(tombstone.instance, gone=True)
 
+    def cold(self, now: Instant) -> Iterator[Instance]:
+        """Yield the instances that are cold."""
+        for item in self.live.values():
+            if now < item.cold_until:
+                yield item.instance
+
     def departures(self, now: Instant) -> Iterator[Change]:
         """Yield the instances that drain, and those that left a short time ago."""
         for item in self.live.values():
--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -36,10 +36,12 @@
 from .change_feed import ChangeFeed
 from .gateways import CONFIRMATION_TIMEOUT
 from .gateways import LOOKUP_TIMEOUT
+from .gateways import SHARE_TIMEOUT
 from .gateways import GatewayTable
 from .gateways import LookupIndex
 from .gateways import UnconfirmedUpdate
 from .gossip import GossipState
+from .rate_shares import RateShares
 from .table import SILENCE_TIMEOUT
 from .table import Change
 from .table import InstanceTable
@@ -49,6 +51,7 @@
 if TYPE_CHECKING:
     from ...messages.commands import Node
     from ...messages.discovery import Instance
+    from ...messages.discovery import RateShare
 
 GOSSIP_INTERVAL = 0.3
 """Seconds between two gossip messages to the other control processes."""
@@ -59,6 +62,9 @@
 PAUSE_THRESHOLD = 1.0
 """Seconds between two batches above which this task must have been suspended."""
 
+SHARE_INTERVAL = 0.2
+"""Seconds between two divisions of the rates of rate-limited servers."""
+
 SETTLE_INTERVALS = 1.6
 """Heartbeat intervals after a start until this process has all live instances.
 
@@ -121,6 +127,8 @@
         )
         self.lookup_index = LookupIndex()
         """Gateways that lookups may return; replaced as a whole, read by any thread."""
+        self.rate_shares = RateShares()
+        self._shares_due = Instant(0.0)
         self._gossip_due = Instant(0.0)
         self._expire_due = Instant(0.0)
         self._last_run_at = self.started_at
@@ -182,6 +190,14 @@
             return True
         return not (leaving or self._reached_majority or self.is_settled(now))
 
+    def share_rates(self, vm: VmName, now: Instant) -> tuple[RateShare, ...]:
+        """Return the shares of a gateway in the rates of rate-limited servers."""
+        if now >= self._shares_due:
+            self._shares_due = Instant(now + SHARE_INTERVAL)
+            live = self.gateways.live(now, SHARE_TIMEOUT)
+            self.rate_shares.update(self.instances.cold(now), live)
+        return tuple(self.rate_shares.by_vm.get(vm, ()))
+
     def push_changes(self, changes: list[Change], now: Instant) -> list[MemberId]:
         """Push changes to all live gateways and return their ids."""
         live = self.gateways.live(now)
@@ -343,7 +359,7 @@
 def handle_sync(task: DiscoveryTask, req: IncomingMessage, now: Instant) -> None:
     """Answer a gateway with the changes that it lacks."""
     sync: SyncRequest = req.message
-    task.gateways.record_sync(sync.gateway, req.reply, now)
+    task.gateways.record_sync(sync, req.reply, now)
     committed_state = task.committed_state
     newer_routing = committed_state.routing_version > sync.routing_version
     sends_routing = sync.wants_routing and newer_routing
@@ -353,6 +369,7 @@
     changes = feed.changes if feed is not None else ()
     in_contact = task.in_contact(now)
     ready = in_contact and task.is_settled(now)
+    leases = ready and sync.source == task.run_id
     req.reply(
         SyncAnswer(
             task.run_id if feed is not None else "",
@@ -369,5 +386,7 @@
             len(task.gateways.live(now)),
             ready,
             in_contact and now > task.started_at + SILENCE_TIMEOUT,
+            sync.sent_at if leases else Instant(0.0),
+            task.share_rates(sync.gateway.vm, now) if leases else (),
         )
     )
--- a/src/snipecart/core/failures.py
+++ b/src/snipecart/core/failures.py
@@ -98,6 +98,12 @@
     category = Category.UNAVAILABLE
 
 
+class RateLimited(Failure):
+    """Reject a request at once as each backend server's rate is used up for now."""
+
+    category = Category.UNAVAILABLE
+
+
 class LinkSaturated(Failure):
     """Reject a request at once whose answer this VM's network link can't carry."""
 
--- a/src/snipecart/core/token_bucket.py
+++ b/src/snipecart/core/token_bucket.py
@@ -26,9 +26,21 @@
 
         An amount over the burst is taken from a full bucket, which then is in debt.
         """
-        self.tokens = min(self.burst, self.tokens + (now - self.at) * self.rate)
-        self.at = now
-        if self.tokens < min(amount, self.burst):
+        if not self.has(now, amount):
             return False
         self.tokens -= amount
         return True
+
+    def has(self, now: Instant, amount: float = 1.0) -> bool:
+        """Return whether tokens could be taken now."""
+        self._earn(now)
+        return self.tokens >= min(amount, self.burst)
+
+    def set_rate(self, rate: float, now: Instant) -> None:
+        """Change the rate; tokens earned so far stay."""
+        self._earn(now)
+        self.rate = rate
+
+    def _earn(self, now: Instant) -> None:
+        self.tokens = min(self.burst, self.tokens + (now - self.at) * self.rate)
+        self.at = now
--- a/src/snipecart/gateway/balancing/hashing.py
+++ b/src/snipecart/gateway/balancing/hashing.py
@@ -5,10 +5,10 @@
 
 from __future__ import annotations
 
-import math
-from hashlib import blake2b
 from typing import TYPE_CHECKING
 
+from ...core.rendezvous import rendezvous_score
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Mapping
@@ -16,19 +16,6 @@
     from ...core.ids import RegionName
     from ...messages.discovery import Instance
 
-HASH_SPACE = float(1 << 64)
-"""Number of values of an 8-byte digest."""
-
-MIN_WEIGHT = 1e-6
-"""Weight of a backend server whose region has no share, so that it ranks last."""
-
-
-def rendezvous_score(key: str, name: str, weight: float) -> float:
-    """Return a rendezvous score; names score highest in proportion to their weight."""
-    digest = blake2b(f"{key}\n{name}".encode(), digest_size=8).digest()
-    uniform = (int.from_bytes(digest, "big") + 0.5) / HASH_SPACE
-    return -max(weight, MIN_WEIGHT) / math.log(uniform)
-
 
 def region_shares(
     home: RegionName, slots: Mapping[RegionName, int], regions: Iterable[RegionName]
--- a/src/snipecart/gateway/balancing/selection.py
+++ b/src/snipecart/gateway/balancing/selection.py
@@ -18,17 +18,19 @@
 
 from ...core.failures import Failure
 from ...core.failures import NoEndpoint
+from ...core.failures import RateLimited
 from ...core.failures import ServerSaturated
 from ...core.ids import InstanceId
 from ...core.ids import Instant
 from ...core.ids import ServiceName
 from ...core.registry import Registry
 from ...core.states import EndpointState
-from ...core.token_bucket import TokenBucket
 from ..request import Destination
 from .admission import WAIT_RULES
 from .outcome import late_time
 from .preference import preference_order
+from .rate_limits import acquire_send
+from .rate_limits import may_send
 from .server import Server
 from .spillover import SpilloverMeter
 
@@ -40,15 +42,6 @@
 SPREAD_THRESHOLD = 0.7
 """Utilisation of a service's slots below which objects may move to more servers."""
 
-COLD_RATE_FACTOR = 0.8
-"""Fraction of a cold server's rate that gateways share.
-
-The rest allows for gateways that don't count each other yet.
-"""
-
-COLD_BURST = 1.0
-"""Requests that one gateway may send to a cold backend server at once."""
-
 MIN_SOUND_FRACTION = 0.6
 """Fraction of servers that must be sound for the failing ones to be excluded."""
 
@@ -86,7 +79,10 @@
     servers = _list_candidates(state, routed, service, tried)
     if not servers:
         return Error(NoEndpoint(service))
-    eligible = _exclude_failing(servers, now)
+    sendable = [item for item in servers if may_send(state, item, now)]
+    if not sendable:
+        return Error(RateLimited(f"{len(servers)} servers of {service}"))
+    eligible = _exclude_failing(sendable, now)
     region = eligible[0].instance.region
     if not meter.allows(now):
         eligible = [item for item in eligible if item.instance.region == region]
@@ -126,7 +122,7 @@
     for item in sorted(usable if may_spread else warm, key=cost):
         if item.expected_wait(usual, now) > 0:
             break
-        if _acquire_token(state, item, service, now):
+        if acquire_send(state, item, now):
             return Ok(_assign(state, routed, item, 0.0, now))
     return _select_queue(state, routed, service, warm, now)
 
@@ -147,7 +143,7 @@
 ) -> Result[Destination, Failure]:
     """Select the first server with a free slot, warm or not, as a baseline."""
     for item in servers:
-        if item.load(now) < item.slots and _acquire_token(state, item, service, now):
+        if item.load(now) < item.slots and acquire_send(state, item, now):
             return Ok(_assign(state, routed, item, 0.0, now))
     return _select_queue(state, routed, service, servers, now)
 
@@ -169,7 +165,7 @@
             continue
         free = server.load(now) < server.slots and server.is_sound(now)
         free = free and server.slowdown < COMPARED_SLOWDOWN
-        return server if free and _acquire_token(state, server, service, now) else None
+        return server if free and acquire_send(state, server, now) else None
     return None
 
 
@@ -205,23 +201,6 @@
     )
 
 
-def _acquire_token(
-    state: BalancerState, server: Server, service: ServiceName, now: Instant
-) -> bool:
-    """Take a token of a cold server's bucket; others have no limit on their rate."""
-    if not server.is_cold(now):
-        server.bucket = None
-        return True
-    service_limits = state.index.services.get(service) if state.index else None
-    rate = service_limits.cold_per_s if service_limits is not None else 0.0
-    if not rate:
-        return True
-    rate *= COLD_RATE_FACTOR / state.gateways
-    if server.bucket is None or server.bucket.rate != rate:
-        server.bucket = TokenBucket(rate, COLD_BURST, COLD_BURST, now)
-    return server.bucket.try_acquire(now)
-
-
 def _usual_time(state: BalancerState, routed: RoutedRequest) -> float:
     """Return the usual response time of a route in seconds.
 
@@ -250,7 +229,7 @@
         wait = waits[item.instance.instance]
         if wait > limit:
             break
-        if _acquire_token(state, item, service, now):
+        if acquire_send(state, item, now):
             return Ok(_assign(state, routed, item, max(0.0, wait), now))
     return Error(ServerSaturated(_describe_saturation(ranked[0], waits, limit, now)))
 
--- a/src/snipecart/gateway/balancing/state.py
+++ b/src/snipecart/gateway/balancing/state.py
@@ -24,9 +24,11 @@
 from .budget import BudgetRule
 from .budget import RetryBudget
 from .link import LinkBudget
+from .rate_limits import RateLeases
 from .routes import RouteIndex
 from .routes import TrafficSplits
 from .server import Server
+from .traffic import TrafficMeter
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -80,9 +82,11 @@
     """Log index of the evacuation in force."""
     evacuated: frozenset[ZoneName] = frozenset()
     gateways: int = 1
-    """Gateways that share cold rates and retry budgets, this one included."""
+    """Gateways that share retry budgets, this one included."""
     gateways_updated_at: Instant = Instant(-1e9)
     """When ``gateways`` was last confirmed or changed."""
+    traffic: TrafficMeter = field(default_factory=TrafficMeter)
+    rate_leases: RateLeases = field(default_factory=RateLeases)
     link: LinkBudget = field(default_factory=LinkBudget)
     """Budget of the network link of this VM."""
     spillover_meters: dict[ServiceName, SpilloverMeter] = field(default_factory=dict)
@@ -113,6 +117,7 @@
         state.preference_orders.clear()
         emit(EVACUATION_IN_FORCE, zones=",".join(sorted(state.evacuated)))
     _update_gateway_count(state, answer.gateways, now)
+    state.rate_leases.renew(answer)
     for instance in answer.instances:
         apply_instance(state, instance, now)
     gone: Iterable[InstanceId] = answer.gone
--- a/src/snipecart/gateway/balancing/task.py
+++ b/src/snipecart/gateway/balancing/task.py
@@ -115,6 +115,8 @@
     """Latest answer of the followed control process that the state includes."""
     unserved: frozenset[ServiceName] = frozenset()
     """Services that routes name and no stored server belongs to."""
+    requests_per_s: int = 1
+    """Requests from clients, rounded."""
 
 
 def unserved_services(state: BalancerState) -> frozenset[ServiceName]:
@@ -166,7 +168,7 @@
         for message in batch:
             HANDLERS.get(type(message))(self, message, now)
 
-    def publish(self) -> None:
+    def publish(self, now: Instant) -> None:
         """Publish the current state to other threads, as a new view."""
         state = self.state
         if state.index is not self.view.index:
@@ -177,6 +179,7 @@
             digest_instances(item.instance for item in state.servers.values()),
             self.applied,
             unserved_services(state),
+            state.traffic.rounded(now),
         )
 
     def describe_missing_routing(self) -> str:
@@ -217,6 +220,7 @@
 def handle_select(task: BalancerTask, message: SelectServer, now: Instant) -> None:
     """Admit a request on the link and select a server for its first send."""
     state, routed = task.state, message.routed
+    state.traffic.record(now)
     state.link.record_request(len(routed.req.body), now)
     if not state.link.admit(routed.route, routed.more_urgent_ranks, now):
         message.fut.set_result(Error(LinkSaturated()))
@@ -269,7 +273,7 @@
         task.retain_connections(
             {item.instance.endpoint for item in task.state.servers.values()}
         )
-    task.publish()
+    task.publish(now)
 
 
 @HANDLERS.register(InstanceChanged)
@@ -279,4 +283,4 @@
         apply_departure(task.state, change.instance)
     else:
         apply_instance(task.state, change.instance, now)
-    task.publish()
+    task.publish(now)
--- a/src/snipecart/gateway/sync.py
+++ b/src/snipecart/gateway/sync.py
@@ -15,6 +15,7 @@
 from ..core.ids import LogIndex
 from ..core.ids import RoutingVersion
 from ..core.ids import VmName
+from ..core.rendezvous import rendezvous_score
 from ..core.states import EndpointState
 from ..core.states import MemberState
 from ..core.task import Task
@@ -25,7 +26,6 @@
 from ..messages.discovery import SyncRequest
 from ..wire.codec import Envelope
 from ..wire.links import Link
-from .balancing.hashing import rendezvous_score
 from .balancing.task import SyncPoint
 
 if TYPE_CHECKING:
@@ -233,6 +233,8 @@
             self._changes_due = now
         else:
             answer = replace(answer, source="", instances=(), gone=(), complete=False)
+        if vm != self._followed:
+            answer = replace(answer, lease_start=Instant(0.0), rate_shares=())
         self._balancer.post(answer)
         if not answer.routing:
             self._fetch_newer_routing(vm, answer.routing_version, 0, now)
@@ -323,6 +325,8 @@
                     view.digest,
                     wants_routing,
                     self._control_index,
+                    now,
+                    view.requests_per_s,
                 ),
             )
         )
--- a/src/snipecart/messages/discovery.py
+++ b/src/snipecart/messages/discovery.py
@@ -7,6 +7,7 @@
 
 from ..core.ids import EndpointId
 from ..core.ids import InstanceId
+from ..core.ids import Instant
 from ..core.ids import LogIndex
 from ..core.ids import MemberId
 from ..core.ids import Millis
@@ -30,6 +31,10 @@
 """Sequence number of a departure; greater than that of any heartbeat."""
 
 
+RATE_LEASE_DURATION = 1.5
+"""Seconds after a gateway's request for which the leases in its answer are valid."""
+
+
 @record
 class Instance:
     """Describe one run of a backend server, as of its latest heartbeat."""
@@ -55,6 +60,16 @@
     return zlib.crc32("\n".join(lines).encode())
 
 
+@record
+class RateShare:
+    """Lease a gateway a part of the rate that a backend server accepts in total."""
+
+    instance: InstanceId
+    born: UnixMillis
+    share: float
+    """Fraction of the server's rate; the shares of all gateways add up to one."""
+
+
 @record
 class Gateway:
     """Describe an entry process that accepts routed requests."""
@@ -85,6 +100,10 @@
     """Whether to send a newer routing table; a gateway asks only one process."""
     control_index: LogIndex
     """Log index of the list of control processes that the gateway uses."""
+    sent_at: Instant = Instant(0.0)
+    """When the gateway sent this, by its own clock."""
+    requests_per_s: int = 1
+    """Requests that the gateway gets from clients, rounded."""
 
 
 @message
@@ -110,6 +129,11 @@
     absent_are_gone: bool
     """Whether a server that the process does not list has been silent for so long that
     it counts as gone."""
+    lease_start: Instant = Instant(0.0)
+    """When the gateway sent the request that leases ``rate_shares``; 0 if the answer
+    leases none and leaves earlier leases as they are."""
+    rate_shares: tuple[RateShare, ...] = ()
+    """All shares of the gateway; it sends nothing to other rate-limited servers."""
 
 
 @message
--- a/src/snipecart/wire/schema.capnp
+++ b/src/snipecart/wire/schema.capnp
@@ -90,14 +90,16 @@
 struct SyncRequest {
   gateway @0 :Gateway; source @1 :Text; revision @2 :UInt64; routingVersion @3 :UInt64;
   evacuationIndex @4 :UInt64; wantsChanges @5 :Bool; digest @6 :UInt32;
-  wantsRouting @7 :Bool; controlIndex @8 :UInt64;
+  wantsRouting @7 :Bool; controlIndex @8 :UInt64; sentAt @9 :Float64;
+  requestsPerS @10 :UInt32;
 }
+struct RateShare { instance @0 :Text; born @1 :UInt64; share @2 :Float64; }
 struct SyncAnswer {
   source @0 :Text; revision @1 :UInt64; complete @2 :Bool; instances @3 :List(Instance);
   gone @4 :List(Text); routingVersion @5 :UInt64; routing @6 :Data;
   evacuationIndex @7 :UInt64; evacuated @8 :List(Text); control @9 :List(Node);
   gateways @10 :UInt32; ready @11 :Bool; controlIndex @12 :UInt64;
-  absentAreGone @13 :Bool;
+  absentAreGone @13 :Bool; leaseStart @14 :Float64; rateShares @15 :List(RateShare);
 }
 struct InstanceChanged { instance @0 :Instance; gone @1 :Bool; }
 struct InstanceSeen { gateway @0 :Text; instance @1 :Text; sequence @2 :UInt64; }
--- a/tests/control/rate_simulation.py
+++ b/tests/control/rate_simulation.py
@@ -4,12 +4,13 @@
 
 from bisect import bisect_left
 from collections import defaultdict
+from concurrent.futures import Future
 from random import Random
 
 from snipecart.core.ids import Instant
 from snipecart.core.states import SendOutcome
 from snipecart.gateway.balancing.outcome import record_send
-from snipecart.gateway.balancing.selection import select_server
+from snipecart.gateway.balancing.task import SelectServer
 from snipecart.gateway.request import HttpRequest
 from snipecart.gateway.request import RoutedRequest
 from snipecart.gateway.request import SendResult
@@ -149,8 +150,9 @@
         )
         route = state.index.find(req.host, req.target)
         routed = RoutedRequest(req, route, 1, Instant(self.now + 1.5))
-        now = Instant(self.now)
-        selected = select_server(state, routed, "racks", frozenset(), now)
+        fut = Future()
+        gateway._balancer.handle([SelectServer(routed, fut)], Instant(self.now))
+        selected = fut.result()
         if selected.is_ok():
             self.arrivals[selected.ok.instance].append(self.now)
             self.after(WORK_SECONDS, self._end, state, routed, selected.ok)
--- a/tests/gateway/test_balancing.py
+++ b/tests/gateway/test_balancing.py
@@ -13,6 +13,7 @@
 from snipecart.gateway.balancing.state import apply_departure
 from snipecart.gateway.balancing.state import apply_sync
 from snipecart.gateway.load_report import LoadReport
+from snipecart.messages.discovery import RateShare
 from snipecart.messages.discovery import SyncAnswer
 from snipecart.text.routing import dump_routing
 
@@ -201,11 +202,14 @@
 
 
 def test_gateways_share_the_rate_of_a_cold_server():
-    gateway = Gateway(ONE).add_instances(make_instance(1, cold=3000, slots=50))
-    apply_sync(gateway.state, make_sync(gateways=5), gateway.now)
+    server = make_instance(1, cold=3000, slots=50)
+    gateway = Gateway(ONE).add_instances(server)
+    share = RateShare(server.instance, server.born, 1 / 5)
     sent = 0
     for _ in range(200):
         gateway.now = Instant(gateway.now + 0.01)
+        leased = make_sync(lease_start=gateway.now, rate_shares=(share,))
+        apply_sync(gateway.state, leased, gateway.now)
         routed = gateway.request()
         destination = gateway.select(routed)
         if not isinstance(destination, str):
--- a/tests/gateway/test_inspect.py
+++ b/tests/gateway/test_inspect.py
@@ -31,7 +31,8 @@
 
 
 def test_describing_a_destination_changes_no_state():
-    gateway = Gateway(ONE).add_instances(make_instance(1, cold=60_000))
+    cold = make_instance(1, cold=60_000)
+    gateway = Gateway(ONE).add_instances(cold).lease(cold)
     before = deepcopy(gateway.state.servers)
     for _ in range(50):
         assert describe(gateway).instance
--- a/tests/gateway/world.py
+++ b/tests/gateway/world.py
@@ -16,6 +16,7 @@
 from snipecart.gateway.request import HttpRequest
 from snipecart.gateway.request import RoutedRequest
 from snipecart.gateway.request import SendResult
+from snipecart.messages.discovery import RATE_LEASE_DURATION
 from snipecart.messages.discovery import Instance
 from snipecart.text.routing import check_routing
 
@@ -94,6 +95,13 @@
             apply_instance(self.state, instance, self.now)
         return self
 
+    def lease(self, instance, share=1.0):
+        """Lease the gateway a share of the rate of a backend server."""
+        leases = self.state.rate_leases
+        leases.shares[(instance.instance, instance.born)] = share
+        leases.until = Instant(self.now + RATE_LEASE_DURATION)
+        return self
+
     def request(self, path="/look/x", key="7", wait_ms=0):
         """Return a routed request."""
         self.count += 1
