Decode what servers ask for in their answers, and log changes of their rate limits

Cause: nothing read a server's notice that it leaves, the pause it asks for or the rate that it accepts, so neither logs nor metrics showed whether a server that got too much had said so.

Change: server_notice.py decodes the three headers into one typed notice beside the load report. A malformed, repeated, negative, infinite or huge value costs its own header alone and is counted (snipecart_gateway_malformed_notices). Event 3304 logs each change of a server's limit at each gateway. No decision uses the notice yet.

Conclusion: the logs now tell which gateway knew a limit, and since when.

--- a/src/snipecart/core/events.py
+++ b/src/snipecart/core/events.py
@@ -121,6 +121,9 @@
 SERVER_EJECTED = register_event(
     3303, logbook.WARNING, "backend server ejected after failures"
 )
+SERVER_RATE_LIMIT = register_event(
+    3304, logbook.NOTICE, "rate limit of a backend server changed"
+)
 ROUTING_IN_FORCE = register_event(3311, logbook.NOTICE, "routing table in force")
 ROUTING_UNREADABLE = register_event(3312, logbook.ERROR, "routing table invalid")
 EVACUATION_IN_FORCE = register_event(
--- a/src/snipecart/gateway/backends.py
+++ b/src/snipecart/gateway/backends.py
@@ -24,6 +24,7 @@
 from .load_report import parse_load_report
 from .metrics import CONNECTIONS
 from .request import SendResult
+from .server_notice import read_notice
 
 if TYPE_CHECKING:
     from ..upstream.answers import HttpAnswer
@@ -133,7 +134,7 @@
             and answer.header(self._names.not_run) is not None
         ):
             end = SendOutcome.REJECTED
-        return SendResult(end, seconds, answer, load)
+        return SendResult(end, seconds, answer, load, read_notice(answer, self._names))
 
 
 def _endpoint(destination: Destination) -> EndpointId:
--- a/src/snipecart/gateway/balancing/outcome.py
+++ b/src/snipecart/gateway/balancing/outcome.py
@@ -71,6 +71,8 @@
     if sent.load_report is not None:
         estimate = SLOWDOWN_RULES.get(state.slowdown_rule)
         server.record_load(sent.load_report, estimate, now)
+    if sent.answer is not None and sent.end is not SendOutcome.MISDIRECTED:
+        server.record_notice(sent.notice)
     if sent.end is SendOutcome.MISDIRECTED:
         server.ejected_until = Instant(now + MISDIRECTED_EJECTION)
     if server.is_ejected(now) and not was_ejected:
--- a/src/snipecart/gateway/balancing/server.py
+++ b/src/snipecart/gateway/balancing/server.py
@@ -7,6 +7,8 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from ...core.events import SERVER_RATE_LIMIT
+from ...core.events import emit
 from ...core.ids import Instant
 from ...core.states import SendOutcome
 from ...core.states import ServerCondition
@@ -15,6 +17,7 @@
     from ...core.token_bucket import TokenBucket
     from ...messages.discovery import Instance
     from ..load_report import LoadReport
+    from ..server_notice import ServerNotice
     from .slowdown import SlowdownRule
 
 LOAD_REPORT_MAX_AGE = 1.5
@@ -102,6 +105,8 @@
     """Time of the last send that was late."""
     was_late: bool = False
     """Whether the latest send was late, answered or not."""
+    rate_limit: float | None = None
+    """Requests per second that it accepts from all gateways, by its latest answer."""
     bucket: TokenBucket | None = None
     """Limits the rate of requests while the server is cold."""
     warm_objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
@@ -208,6 +213,17 @@
         self.other_load = max(0.0, report.running + report.waiting - self.sending)
         self.load_reported_at = now
 
+    def record_notice(self, notice: ServerNotice) -> None:
+        """Apply what the server asks for in an answer."""
+        if notice.rate_limit != self.rate_limit:
+            emit(
+                SERVER_RATE_LIMIT,
+                instance=self.instance.instance,
+                per_s=notice.rate_limit,
+                before=self.rate_limit,
+            )
+        self.rate_limit = notice.rate_limit
+
     def record_send(
         self, end: SendOutcome, ratio: float, has_load: bool, now: Instant
     ) -> None:
--- a/src/snipecart/gateway/metrics.py
+++ b/src/snipecart/gateway/metrics.py
@@ -18,6 +18,11 @@
 SENDS = Counter(
     "snipecart_gateway_sends", "Sends to backend servers, by how they ended", ["end"]
 )
+MALFORMED_NOTICES = Counter(
+    "snipecart_gateway_malformed_notices",
+    "Malformed headers about leaving, pauses and rate limits in answers",
+    ["field"],
+)
 CONNECTIONS = Counter(
     "snipecart_gateway_connections", "Connections opened to backend servers"
 )
--- a/src/snipecart/gateway/request.py
+++ b/src/snipecart/gateway/request.py
@@ -12,6 +12,8 @@
 from ..core.memory import MemoryReservation
 from ..core.memory import unlimited_reservation
 from ..core.task import monotonic
+from .server_notice import NO_NOTICE
+from .server_notice import ServerNotice
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,6 +42,10 @@
     """Header with the instance that a request is meant for."""
     load_report: str = "Snipecart-Load"
     """Header with the load report in an answer, in the format of ``load_report.py``."""
+    leaving: str = "Snipecart-Leaving"
+    """Header with 1 in the answers of a backend server that will end soon."""
+    rate_limit: str = "Snipecart-Limit"
+    """Header with the requests per second that a backend server accepts in total."""
     not_run: str = "Snipecart-Not-Run"
     """Header of an answer to a request that the backend server did not run."""
 
@@ -154,6 +160,8 @@
     answer: HttpAnswer | None = None
     """Complete answer; None if there was none."""
     load_report: LoadReport | None = None
+    notice: ServerNotice = NO_NOTICE
+    """What the backend server asked for in its answer."""
     failure: Failure | None = None
     """Why there is no complete answer; None if there is one."""
 
--- a/src/snipecart/platform/names.py
+++ b/src/snipecart/platform/names.py
@@ -12,6 +12,8 @@
     deadline_ms="Deadline-Ms",
     expected_instance="Expect-Instance",
     load_report="Server-Load",
+    leaving="Server-Leaving",
+    rate_limit="Server-Limit",
     not_run="Not-Executed",
 )
 
--- a/src/snipecart/upstream/answers.py
+++ b/src/snipecart/upstream/answers.py
@@ -53,9 +53,13 @@
 
     def header(self, name: str) -> str | None:
         """Return the last value of a header; None if the answer has none."""
-        values = [value for key, value in self.headers if key.lower() == name.lower()]
+        values = self.header_values(name)
         return values[-1] if values else None
 
+    def header_values(self, name: str) -> list[str]:
+        """Return all values of a header."""
+        return [value for key, value in self.headers if key.lower() == name.lower()]
+
 
 @dataclass(frozen=True)
 class ExpectedAnswer:
