--- a/tests/control/rate_simulation.py
+++ b/tests/control/rate_simulation.py
@@ -14,6 +14,8 @@
 from snipecart.gateway.request import HttpRequest
 from snipecart.gateway.request import RoutedRequest
 from snipecart.gateway.request import SendResult
+from snipecart.gateway.server_notice import ServerNotice
+from snipecart.upstream.answers import HttpAnswer
 from tests.control.fleet_simulation import FleetSimulation
 from tests.gateway.world import make_instance
 from tests.gateway.world import make_route
@@ -21,6 +23,7 @@
 
 CONTROLS = 3
 OBJECTS = 24
+OK = HttpAnswer(200, "", (), b"")
 SLOTS = 30
 WORK_SECONDS = 0.2
 SETTLED_SECONDS = 4.0
@@ -40,6 +43,8 @@
         self.stopped = set()
         self.arrivals = defaultdict(list)
         """Times at which each server got a request."""
+        self.limits = {}
+        """Requests per second that servers accept and name in their answers."""
         self.busy = 1.0
         """Requests of the busiest gateway, relative to each of the others."""
         self._number_of_requests = 0
@@ -158,7 +163,8 @@
             self.after(WORK_SECONDS, self._end, state, routed, selected.ok)
 
     def _end(self, state, routed, destination):
-        sent = SendResult(SendOutcome.ANSWERED, WORK_SECONDS, None, None)
+        notice = ServerNotice(rate_limit=self.limits.get(destination.instance))
+        sent = SendResult(SendOutcome.ANSWERED, WORK_SECONDS, OK, None, notice)
         record_send(state, routed, destination, sent, Instant(self.now))
 
     def most_in(self, instance, seconds, since=0.0):
