Lease the rate limit that a server names, as that of a cold one

Cause: no gateway read the limit. Were each to keep it by itself, the sum would exceed it by the number of gateways: the class of the cold servers' fault.

Ruled out: limits in the description of an instance, as its next heartbeat knows nothing of them; a report of each answer to all control processes, which would cost some 20 KB a second for each gateway where most servers are limited.

Change: a gateway reports a limit, or its end, to the control process that it follows, only where that lists it otherwise. Control processes gossip changes with the age of the answer, so that a late report doesn't undo a later one, and list all limits to their gateways by revision. The same leases as for cold servers divide the rate. A limit belongs to one run of a server. A gateway whose leases have ended splits a limit evenly and begins slowly. The first answer to a gateway that starts brings its leases and all limits.

--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -5,6 +5,7 @@
 import uuid
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -41,6 +42,7 @@
 from .gateways import LookupIndex
 from .gateways import UnconfirmedUpdate
 from .gossip import GossipState
+from .rate_limits import RateLimitTable
 from .rate_shares import RateShares
 from .table import SILENCE_TIMEOUT
 from .table import Change
@@ -127,6 +129,7 @@
         )
         self.lookup_index = LookupIndex()
         """Gateways that lookups may return; replaced as a whole, read by any thread."""
+        self.rate_limits = RateLimitTable()
         self.rate_shares = RateShares()
         self._shares_due = Instant(0.0)
         self._gossip_due = Instant(0.0)
@@ -157,7 +160,10 @@
             self._expire(now)
         if now >= self._gossip_due:
             self._gossip_due = Instant(now + GOSSIP_INTERVAL)
-            self.broadcast(self.gossip.take())
+            limits = self.rate_limits.take_changes(
+                now, everything=now < self.gossip.whole_until
+            )
+            self.broadcast(replace(self.gossip.take(), rate_limits=limits))
         self._update_lookup_index(now)
 
     def send_gossip_soon(self, now: Instant) -> None:
@@ -195,9 +201,16 @@
         if now >= self._shares_due:
             self._shares_due = Instant(now + SHARE_INTERVAL)
             live = self.gateways.live(now, SHARE_TIMEOUT)
-            self.rate_shares.update(self.instances.cold(now), live)
+            self.rate_shares.update(self._rate_limited(now), live)
         return tuple(self.rate_shares.by_vm.get(vm, ()))
 
+    def _rate_limited(self, now: Instant) -> list[Instance]:
+        """Return the instances that are cold or have named a rate limit."""
+        by_name = {item.instance: item for item in self.instances.cold(now)}
+        for item in self.rate_limits.limited(self.instances):
+            by_name[item.instance] = item
+        return list(by_name.values())
+
     def push_changes(self, changes: list[Change], now: Instant) -> list[MemberId]:
         """Push changes to all live gateways and return their ids."""
         live = self.gateways.live(now)
@@ -243,6 +256,7 @@
             return
         if not had_contact:
             self.instances.extend_lifetimes(now)
+        self.rate_limits.remove_stale(self.instances, now)
         for change in self.instances.expire(now):
             instance = change.instance
             emit(INSTANCE_GONE, instance=instance.instance, sequence=instance.sequence)
@@ -340,6 +354,7 @@
         task.instances.apply_update(item.instance, item.gone, now)
     for item in gossip.repeated:
         task.instances.touch(item, now)
+    task.rate_limits.record(gossip.rate_limits, now)
 
 
 @HANDLERS.register(CommittedState)
@@ -360,6 +375,7 @@
     """Answer a gateway with the changes that it lacks."""
     sync: SyncRequest = req.message
     task.gateways.record_sync(sync, req.reply, now)
+    task.rate_limits.record(sync.rate_limits, now)
     committed_state = task.committed_state
     newer_routing = committed_state.routing_version > sync.routing_version
     sends_routing = sync.wants_routing and newer_routing
@@ -369,7 +385,9 @@
     changes = feed.changes if feed is not None else ()
     in_contact = task.in_contact(now)
     ready = in_contact and task.is_settled(now)
-    leases = ready and sync.source == task.run_id
+    leases = ready and (sync.wants_changes or sync.source == task.run_id)
+    limits_revision = task.rate_limits.revision
+    lists_limits = leases and sync.limits_revision != limits_revision
     req.reply(
         SyncAnswer(
             task.run_id if feed is not None else "",
@@ -388,5 +406,7 @@
             in_contact and now > task.started_at + SILENCE_TIMEOUT,
             sync.sent_at if leases else Instant(0.0),
             task.share_rates(sync.gateway.vm, now) if leases else (),
+            limits_revision if lists_limits else 0,
+            task.rate_limits.in_force(now) if lists_limits else (),
         )
     )
--- a/src/snipecart/gateway/balancing/outcome.py
+++ b/src/snipecart/gateway/balancing/outcome.py
@@ -72,7 +72,7 @@
         estimate = SLOWDOWN_RULES.get(state.slowdown_rule)
         server.record_load(sent.load_report, estimate, now)
     if sent.answer is not None and sent.end is not SendOutcome.MISDIRECTED:
-        server.record_notice(sent.notice)
+        server.record_notice(sent.notice, now)
     if sent.end is SendOutcome.MISDIRECTED:
         server.ejected_until = Instant(now + MISDIRECTED_EJECTION)
     if server.is_ejected(now) and not was_ejected:
--- a/src/snipecart/gateway/balancing/rate_limits.py
+++ b/src/snipecart/gateway/balancing/rate_limits.py
@@ -12,8 +12,10 @@
 from typing import TYPE_CHECKING
 
 from ...core.ids import Instant
+from ...core.ids import Millis
 from ...core.token_bucket import TokenBucket
 from ...messages.discovery import RATE_LEASE_DURATION
+from ...messages.discovery import RateLimit
 
 if TYPE_CHECKING:
     from ...core.ids import InstanceId
@@ -25,6 +27,9 @@
 LEASED_BURST = 1.0
 """Requests that one gateway may send to a rate-limited backend server at once."""
 
+LISTING_TIME = 2.0
+"""Seconds in which control processes learn of a rate limit and list it everywhere."""
+
 
 @dataclass
 class RateLeases:
@@ -53,17 +58,70 @@
         return self.shares.get((instance.instance, instance.born), 0.0)
 
 
+@dataclass
+class ListedLimits:
+    """Store the rate limits that the followed control process listed last."""
+
+    per_s: dict[tuple[InstanceId, UnixMillis], float] = field(default_factory=dict)
+
+    def replace(self, answer: SyncAnswer) -> None:
+        """Replace the limits if an answer lists them."""
+        if answer.limits_revision:
+            self.per_s = {
+                (item.instance, item.born): item.per_s for item in answer.rate_limits
+            }
+
+    def of(self, server: Server) -> float | None:
+        """Return the limit of a server; None if it has none."""
+        return self.per_s.get((server.instance.instance, server.instance.born))
+
+
 def accepted_rate(state: BalancerState, server: Server, now: Instant) -> float | None:
     """Return the requests per second that a server accepts from all gateways.
 
     Return None if it limits no rate.
     """
+    rates = (_cold_rate(state, server, now), _named_limit(state, server, now))
+    return min((rate for rate in rates if rate is not None), default=None)
+
+
+def _cold_rate(state: BalancerState, server: Server, now: Instant) -> float | None:
     if not server.is_cold(now) or state.index is None:
         return None
     service = state.index.services.get(server.instance.service)
     return service.cold_per_s or None if service is not None else None
 
 
+def _named_limit(state: BalancerState, server: Server, now: Instant) -> float | None:
+    """Return the limit that a server named to this gateway or to others.
+
+    An own answer counts until control processes have had time to list what it said. A
+    gateway without a valid lease may be cut off, and keeps to what it heard itself.
+    """
+    is_recent = now < server.noticed_at + LISTING_TIME
+    if is_recent:
+        return server.rate_limit
+    listed = state.listed_limits.of(server)
+    if now >= state.rate_leases.until and listed is None:
+        return server.rate_limit
+    return listed
+
+
+def unlisted_limits(state: BalancerState, now: Instant) -> tuple[RateLimit, ...]:
+    """Return the limits in recent answers that control processes don't list so."""
+    return tuple(
+        RateLimit(
+            server.instance.instance,
+            server.instance.born,
+            server.rate_limit or 0.0,
+            Millis(int((now - server.noticed_at) * 1000)),
+        )
+        for server in state.servers.values()
+        if now < server.noticed_at + LISTING_TIME
+        and server.rate_limit != state.listed_limits.of(server)
+    )
+
+
 def may_send(state: BalancerState, server: Server, now: Instant) -> bool:
     """Return whether the rate of a server allows this gateway a request now."""
     bucket = _leased_bucket(state, server, now)
@@ -76,6 +134,18 @@
     return bucket is None or bucket.try_acquire(now)
 
 
+def _share(state: BalancerState, server: Server, now: Instant) -> float:
+    """Return the fraction of a server's rate that this gateway may use.
+
+    Without any valid lease, gateways split a named limit evenly, and begin slowly:
+    control may be down for long. A cold server gets nothing then, as it is cold for a
+    short time and may fail when it gets too much.
+    """
+    if now >= state.rate_leases.until and not server.is_cold(now):
+        return 1 / state.gateways
+    return state.rate_leases.share(server, now)
+
+
 def _leased_bucket(
     state: BalancerState, server: Server, now: Instant
 ) -> TokenBucket | None:
@@ -87,9 +157,10 @@
     if rate is None:
         server.bucket = None
         return None
-    leased = rate * state.rate_leases.share(server, now)
+    leased = rate * _share(state, server, now)
     if server.bucket is None:
-        tokens = LEASED_BURST if leased else 0.0
+        is_leased = now < state.rate_leases.until and leased > 0
+        tokens = LEASED_BURST if is_leased else 0.0
         server.bucket = TokenBucket(leased, LEASED_BURST, tokens, now)
     server.bucket.set_rate(leased, now)
     return server.bucket
--- a/src/snipecart/gateway/balancing/server.py
+++ b/src/snipecart/gateway/balancing/server.py
@@ -107,6 +107,8 @@
     """Whether the latest send was late, answered or not."""
     rate_limit: float | None = None
     """Requests per second that it accepts from all gateways, by its latest answer."""
+    noticed_at: Instant = Instant(-1e9)
+    """Time of the latest answer that could name a rate limit."""
     bucket: TokenBucket | None = None
     """Limits the rate of requests while the server is cold."""
     warm_objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
@@ -213,7 +215,7 @@
         self.other_load = max(0.0, report.running + report.waiting - self.sending)
         self.load_reported_at = now
 
-    def record_notice(self, notice: ServerNotice) -> None:
+    def record_notice(self, notice: ServerNotice, now: Instant) -> None:
         """Apply what the server asks for in an answer."""
         if notice.rate_limit != self.rate_limit:
             emit(
@@ -223,6 +225,7 @@
                 before=self.rate_limit,
             )
         self.rate_limit = notice.rate_limit
+        self.noticed_at = now
 
     def record_send(
         self, end: SendOutcome, ratio: float, has_load: bool, now: Instant
--- a/src/snipecart/gateway/balancing/state.py
+++ b/src/snipecart/gateway/balancing/state.py
@@ -24,6 +24,7 @@
 from .budget import BudgetRule
 from .budget import RetryBudget
 from .link import LinkBudget
+from .rate_limits import ListedLimits
 from .rate_limits import RateLeases
 from .routes import RouteIndex
 from .routes import TrafficSplits
@@ -87,6 +88,7 @@
     """When ``gateways`` was last confirmed or changed."""
     traffic: TrafficMeter = field(default_factory=TrafficMeter)
     rate_leases: RateLeases = field(default_factory=RateLeases)
+    listed_limits: ListedLimits = field(default_factory=ListedLimits)
     link: LinkBudget = field(default_factory=LinkBudget)
     """Budget of the network link of this VM."""
     spillover_meters: dict[ServiceName, SpilloverMeter] = field(default_factory=dict)
@@ -118,6 +120,7 @@
         emit(EVACUATION_IN_FORCE, zones=",".join(sorted(state.evacuated)))
     _update_gateway_count(state, answer.gateways, now)
     state.rate_leases.renew(answer)
+    state.listed_limits.replace(answer)
     for instance in answer.instances:
         apply_instance(state, instance, now)
     gone: Iterable[InstanceId] = answer.gone
--- a/src/snipecart/gateway/balancing/task.py
+++ b/src/snipecart/gateway/balancing/task.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from concurrent.futures import Future
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -16,18 +17,21 @@
 from ...core.failures import LinkSaturated
 from ...core.ids import InstanceId
 from ...core.ids import Instant
+from ...core.ids import Millis
 from ...core.ids import ServiceName
 from ...core.registry import Registry
 from ...core.states import SendOutcome
 from ...core.task import Task
 from ...core.task import monotonic
 from ...messages.discovery import InstanceChanged
+from ...messages.discovery import RateLimit
 from ...messages.discovery import SyncAnswer
 from ...messages.discovery import digest_instances
 from ..metrics import ROUTING_VERSION
 from ..request import SendResult
 from .outcome import record_send
 from .outcome import retry_budget
+from .rate_limits import unlisted_limits
 from .selection import select_server
 from .state import BalancerState
 from .state import apply_departure
@@ -117,6 +121,16 @@
     """Services that routes name and no stored server belongs to."""
     requests_per_s: int = 1
     """Requests from clients, rounded."""
+    rate_limits: tuple[RateLimit, ...] = ()
+    """Rate limits in recent answers that differ from those listed by control."""
+    published_at: Instant = Instant(0.0)
+
+    def aged_rate_limits(self, now: Instant) -> tuple[RateLimit, ...]:
+        """Return ``rate_limits`` with their age at this moment."""
+        passed = max(0, int((now - self.published_at) * 1000))
+        return tuple(
+            replace(item, age=Millis(item.age + passed)) for item in self.rate_limits
+        )
 
 
 def unserved_services(state: BalancerState) -> frozenset[ServiceName]:
@@ -180,6 +194,8 @@
             self.applied,
             unserved_services(state),
             state.traffic.rounded(now),
+            unlisted_limits(state, now),
+            now,
         )
 
     def describe_missing_routing(self) -> str:
--- a/src/snipecart/gateway/sync.py
+++ b/src/snipecart/gateway/sync.py
@@ -116,6 +116,8 @@
         self._peers: dict[VmName, Peer] = {}
         self._followed = VmName("")
         self._source, self._revision = "", 0
+        self._limits_revision = 0
+        """Revision of the rate limits that the followed process listed last."""
         self._followed_ready = False
         """Whether the followed process had a heartbeat of every server."""
         self._absent_are_gone = False
@@ -234,7 +236,11 @@
         else:
             answer = replace(answer, source="", instances=(), gone=(), complete=False)
         if vm != self._followed:
-            answer = replace(answer, lease_start=Instant(0.0), rate_shares=())
+            answer = replace(
+                answer, lease_start=Instant(0.0), rate_shares=(), limits_revision=0
+            )
+        elif answer.limits_revision:
+            self._limits_revision = answer.limits_revision
         self._balancer.post(answer)
         if not answer.routing:
             self._fetch_newer_routing(vm, answer.routing_version, 0, now)
@@ -285,6 +291,7 @@
         if vm != self._followed:
             self._followed = vm
             self._source, self._revision = "", 0
+            self._limits_revision = 0
             self._followed_ready = self._absent_are_gone = False
             self._changes_due = now
             emit(SYNC_SOURCE_SELECTED, vm=vm, ready=self._peers[vm].ready)
@@ -327,6 +334,8 @@
                     self._control_index,
                     now,
                     view.requests_per_s,
+                    self._limits_revision,
+                    view.aged_rate_limits(now) if vm == self._followed else (),
                 ),
             )
         )
--- a/src/snipecart/messages/discovery.py
+++ b/src/snipecart/messages/discovery.py
@@ -60,6 +60,18 @@
     return zlib.crc32("\n".join(lines).encode())
 
 
+@record
+class RateLimit:
+    """Report the rate that a backend server accepts from all gateways together."""
+
+    instance: InstanceId
+    born: UnixMillis
+    per_s: float
+    """Requests per second; 0 once the server no longer names a limit."""
+    age: Millis
+    """Time since the answer that said so."""
+
+
 @record
 class RateShare:
     """Lease a gateway a part of the rate that a backend server accepts in total."""
@@ -104,6 +116,10 @@
     """When the gateway sent this, by its own clock."""
     requests_per_s: int = 1
     """Requests that the gateway gets from clients, rounded."""
+    limits_revision: int = 0
+    """Revision of the rate limits that ``source`` listed last; 0 before it did."""
+    rate_limits: tuple[RateLimit, ...] = ()
+    """Rate limits in recent answers that differ from the listed ones."""
 
 
 @message
@@ -134,6 +150,10 @@
     leases none and leaves earlier leases as they are."""
     rate_shares: tuple[RateShare, ...] = ()
     """All shares of the gateway; it sends nothing to other rate-limited servers."""
+    limits_revision: int = 0
+    """Revision of ``rate_limits``; 0 if the earlier list stands."""
+    rate_limits: tuple[RateLimit, ...] = ()
+    """All rate limits that backend servers named."""
 
 
 @message
@@ -191,3 +211,5 @@
     run: str = ""
     """Id of the sender's run; a new one tells that the sender has started again."""
     repeated: tuple[RepeatedHeartbeat, ...] = ()
+    rate_limits: tuple[RateLimit, ...] = ()
+    """Rate limits that have changed; all of them after contact was lost."""
--- a/src/snipecart/wire/schema.capnp
+++ b/src/snipecart/wire/schema.capnp
@@ -91,7 +91,11 @@
   gateway @0 :Gateway; source @1 :Text; revision @2 :UInt64; routingVersion @3 :UInt64;
   evacuationIndex @4 :UInt64; wantsChanges @5 :Bool; digest @6 :UInt32;
   wantsRouting @7 :Bool; controlIndex @8 :UInt64; sentAt @9 :Float64;
-  requestsPerS @10 :UInt32;
+  requestsPerS @10 :UInt32; limitsRevision @11 :UInt64;
+  rateLimits @12 :List(RateLimit);
+}
+struct RateLimit {
+  instance @0 :Text; born @1 :UInt64; perS @2 :Float64; age @3 :UInt32;
 }
 struct RateShare { instance @0 :Text; born @1 :UInt64; share @2 :Float64; }
 struct SyncAnswer {
@@ -100,6 +104,7 @@
   evacuationIndex @7 :UInt64; evacuated @8 :List(Text); control @9 :List(Node);
   gateways @10 :UInt32; ready @11 :Bool; controlIndex @12 :UInt64;
   absentAreGone @13 :Bool; leaseStart @14 :Float64; rateShares @15 :List(RateShare);
+  limitsRevision @16 :UInt64; rateLimits @17 :List(RateLimit);
 }
 struct InstanceChanged { instance @0 :Instance; gone @1 :Bool; }
 struct InstanceSeen { gateway @0 :Text; instance @1 :Text; sequence @2 :UInt64; }
@@ -108,6 +113,7 @@
 struct RepeatedHeartbeat { instance @0 :Text; born @1 :UInt64; sequence @2 :UInt64; }
 struct Gossip {
   sender @0 :Text; heard @1 :List(Heard); run @2 :Text; repeated @3 :List(RepeatedHeartbeat);
+  rateLimits @4 :List(RateLimit);
 }
 
 struct Envelope {
