Send nothing more to servers that say in an answer that they leave

Cause: gateways learned of a departure only from control processes. A gateway that is cut off, or whose control processes have not heard of it, went on sending (DRAIN).

Change: the notice counts for this run of the server, for good: heartbeats, also after the server was removed and listed again, don't undo it. A refusal for lack of servers says how many of them leave. Left out: telling the control processes, as servers that leave also tell them, and each gateway stops at the first answer.

--- a/src/snipecart/core/events.py
+++ b/src/snipecart/core/events.py
@@ -124,6 +124,9 @@
 SERVER_RATE_LIMIT = register_event(
     3304, logbook.NOTICE, "rate limit of a backend server changed"
 )
+SERVER_LEAVING = register_event(
+    3305, logbook.INFO, "backend server says that it leaves"
+)
 ROUTING_IN_FORCE = register_event(3311, logbook.NOTICE, "routing table in force")
 ROUTING_UNREADABLE = register_event(3312, logbook.ERROR, "routing table invalid")
 EVACUATION_IN_FORCE = register_event(
--- a/src/snipecart/core/states.py
+++ b/src/snipecart/core/states.py
@@ -118,6 +118,8 @@
     FAILING = "failing"
     """Some of its requests fail."""
     EJECTED = "ejected"
+    LEAVING = "leaving"
+    """It said in an answer that it will end soon."""
 
 
 class MemberState(StrEnum):
--- a/src/snipecart/gateway/balancing/outcome.py
+++ b/src/snipecart/gateway/balancing/outcome.py
@@ -11,6 +11,7 @@
 from .budget import RetryBudget
 from .server import SLOW_RATIO
 from .slowdown import SLOWDOWN_RULES
+from .state import record_leaving
 
 if TYPE_CHECKING:
     from ...core.ids import ServiceName
@@ -73,6 +74,8 @@
         server.record_load(sent.load_report, estimate, now)
     if sent.answer is not None and sent.end is not SendOutcome.MISDIRECTED:
         server.record_notice(sent.notice, now)
+        if server.leaving:
+            record_leaving(state, server.instance)
     if sent.end is SendOutcome.MISDIRECTED:
         server.ejected_until = Instant(now + MISDIRECTED_EJECTION)
     if server.is_ejected(now) and not was_ejected:
--- a/src/snipecart/gateway/balancing/selection.py
+++ b/src/snipecart/gateway/balancing/selection.py
@@ -78,7 +78,7 @@
         return Ok(_assign(state, routed, first, 0.0, now))
     servers = _list_candidates(state, routed, service, tried)
     if not servers:
-        return Error(NoEndpoint(service))
+        return Error(NoEndpoint(_describe_absence(state, service)))
     sendable = [item for item in servers if may_send(state, item, now)]
     if not sendable:
         return Error(RateLimited(f"{len(servers)} servers of {service}"))
@@ -176,6 +176,17 @@
     return sound if len(sound) > len(not_ejected) * MIN_SOUND_FRACTION else not_ejected
 
 
+def _describe_absence(state: BalancerState, service: ServiceName) -> str:
+    """Say how many servers a service has, and how many of them leave."""
+    servers = [
+        item for item in state.servers.values() if item.instance.service == service
+    ]
+    leaving = sum(
+        item.leaving or item.instance.state is EndpointState.LEAVING for item in servers
+    )
+    return f"{service}: {len(servers)} servers known, {leaving} of them leave"
+
+
 def _list_candidates(
     state: BalancerState,
     routed: RoutedRequest,
@@ -196,6 +207,7 @@
     instance = server.instance
     return (
         instance.state is EndpointState.SERVING
+        and not server.leaving
         and instance.zone not in state.evacuated
         and (not route.regions or instance.region in route.regions)
     )
--- a/src/snipecart/gateway/balancing/server.py
+++ b/src/snipecart/gateway/balancing/server.py
@@ -7,6 +7,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from ...core.events import SERVER_LEAVING
 from ...core.events import SERVER_RATE_LIMIT
 from ...core.events import emit
 from ...core.ids import Instant
@@ -109,6 +110,8 @@
     """Requests per second that it accepts from all gateways, by its latest answer."""
     noticed_at: Instant = Instant(-1e9)
     """Time of the latest answer that could name a rate limit."""
+    leaving: bool = False
+    """Whether it said in an answer that it will end soon."""
     bucket: TokenBucket | None = None
     """Limits the rate of requests while the server is cold."""
     warm_objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
@@ -194,6 +197,8 @@
 
     def condition(self, now: Instant) -> ServerCondition:
         """Return its condition; of several that apply, the most severe."""
+        if self.leaving:
+            return ServerCondition.LEAVING
         if self.is_ejected(now):
             return ServerCondition.EJECTED
         if self.is_failing(now):
@@ -226,6 +231,9 @@
             )
         self.rate_limit = notice.rate_limit
         self.noticed_at = now
+        if notice.leaving and not self.leaving:
+            emit(SERVER_LEAVING, instance=self.instance.instance)
+        self.leaving = self.leaving or notice.leaving
 
     def record_send(
         self, end: SendOutcome, ratio: float, has_load: bool, now: Instant
--- a/src/snipecart/gateway/balancing/state.py
+++ b/src/snipecart/gateway/balancing/state.py
@@ -48,7 +48,7 @@
 """Seconds after which a lower count of gateways is applied."""
 
 MAX_REMOVED_VERSIONS = 2048
-"""Maximum number of tombstones of removed backend servers."""
+"""Maximum number of tombstones of removed backend servers, and of leaving runs."""
 
 InstanceVersion = tuple[UnixMillis, int]
 """Start time of an instance, and sequence number of its heartbeat."""
@@ -95,6 +95,10 @@
     servers: dict[InstanceId, Server] = field(default_factory=dict)
     removed_versions: dict[InstanceId, InstanceVersion] = field(default_factory=dict)
     """Tombstones of removed instances, so that their older heartbeats are ignored."""
+    leaving_runs: dict[tuple[InstanceId, UnixMillis], None] = field(
+        default_factory=dict
+    )
+    """Runs of backend servers that said in an answer that they leave."""
     usual_times: dict[RouteName, float] = field(default_factory=dict)
     """Usual response time of each route, in seconds."""
     unwarmed_times: dict[RouteName, float] = field(default_factory=dict)
@@ -179,7 +183,12 @@
     for other in list(state.servers.values()):
         if other.instance.endpoint == received.endpoint:
             remove_instance(state, other.instance.instance)
-    state.servers[received.instance] = Server(received, cold_until, added_at=now)
+    state.servers[received.instance] = Server(
+        received,
+        cold_until,
+        added_at=now,
+        leaving=(received.instance, received.born) in state.leaving_runs,
+    )
     state.preference_orders.clear()
     emit(
         SERVER_UPDATED,
@@ -227,6 +236,13 @@
         emit(SERVER_REMOVED, instance=name)
 
 
+def record_leaving(state: BalancerState, instance: Instance) -> None:
+    """Remember that a run of a backend server leaves, whatever heartbeats say later."""
+    state.leaving_runs[(instance.instance, instance.born)] = None
+    while len(state.leaving_runs) > MAX_REMOVED_VERSIONS:
+        del state.leaving_runs[next(iter(state.leaving_runs))]
+
+
 def _record_version(
     state: BalancerState, name: InstanceId, version: InstanceVersion
 ) -> None:
