Send nothing to a server during the pause that it asks for

The refusal counts neither as a failure nor as load. If all servers of a service pause, requests are refused at once, with a Retry-After that begins when the first pause ends (servers_paused).

--- a/src/snipecart/core/events.py
+++ b/src/snipecart/core/events.py
@@ -127,6 +127,7 @@
 SERVER_LEAVING = register_event(
     3305, logbook.INFO, "backend server says that it leaves"
 )
+SERVER_PAUSED = register_event(3306, logbook.INFO, "backend server asks for a pause")
 ROUTING_IN_FORCE = register_event(3311, logbook.NOTICE, "routing table in force")
 ROUTING_UNREADABLE = register_event(3312, logbook.ERROR, "routing table invalid")
 EVACUATION_IN_FORCE = register_event(
--- a/src/snipecart/core/failures.py
+++ b/src/snipecart/core/failures.py
@@ -104,6 +104,15 @@
     category = Category.UNAVAILABLE
 
 
+@dataclass(frozen=True)
+class ServersPaused(Failure):
+    """Reject a request at once as all backend servers asked for a pause."""
+
+    retry_after: float = 0.0
+    """Seconds until the first pause ends."""
+    category: ClassVar[Category] = Category.UNAVAILABLE
+
+
 class LinkSaturated(Failure):
     """Reject a request at once whose answer this VM's network link can't carry."""
 
--- a/src/snipecart/core/states.py
+++ b/src/snipecart/core/states.py
@@ -120,6 +120,8 @@
     EJECTED = "ejected"
     LEAVING = "leaving"
     """It said in an answer that it will end soon."""
+    PAUSED = "paused"
+    """It asked this gateway to send nothing for a time."""
 
 
 class MemberState(StrEnum):
--- a/src/snipecart/gateway/balancing/outcome.py
+++ b/src/snipecart/gateway/balancing/outcome.py
@@ -66,7 +66,8 @@
     was_warm = server.is_warm_for(routed.object_key)
     ratio = _record_time(state, routed.route, destination, sent, was_warm)
     was_ejected = server.is_ejected(now)
-    server.record_send(sent.end, ratio, sent.load_report is not None, now)
+    if not sent.notice.pause_s:
+        server.record_send(sent.end, ratio, sent.load_report is not None, now)
     if sent.end is SendOutcome.ANSWERED:
         server.record_warm_object(routed.object_key)
     if sent.load_report is not None:
--- a/src/snipecart/gateway/balancing/rate_limits.py
+++ b/src/snipecart/gateway/balancing/rate_limits.py
@@ -123,13 +123,17 @@
 
 
 def may_send(state: BalancerState, server: Server, now: Instant) -> bool:
-    """Return whether the rate of a server allows this gateway a request now."""
+    """Return whether a server accepts a request of this gateway now."""
+    if server.is_paused(now):
+        return False
     bucket = _leased_bucket(state, server, now)
     return bucket is None or bucket.has(now)
 
 
 def acquire_send(state: BalancerState, server: Server, now: Instant) -> bool:
-    """Count a request against the rate of a server; return False if it exceeds it."""
+    """Count a request against the rate of a server; return False if it accepts none."""
+    if server.is_paused(now):
+        return False
     bucket = _leased_bucket(state, server, now)
     return bucket is None or bucket.try_acquire(now)
 
--- a/src/snipecart/gateway/balancing/selection.py
+++ b/src/snipecart/gateway/balancing/selection.py
@@ -20,6 +20,7 @@
 from ...core.failures import NoEndpoint
 from ...core.failures import RateLimited
 from ...core.failures import ServerSaturated
+from ...core.failures import ServersPaused
 from ...core.ids import InstanceId
 from ...core.ids import Instant
 from ...core.ids import ServiceName
@@ -81,7 +82,7 @@
         return Error(NoEndpoint(_describe_absence(state, service)))
     sendable = [item for item in servers if may_send(state, item, now)]
     if not sendable:
-        return Error(RateLimited(f"{len(servers)} servers of {service}"))
+        return Error(_describe_limits(servers, service, now))
     eligible = _exclude_failing(sendable, now)
     region = eligible[0].instance.region
     if not meter.allows(now):
@@ -187,6 +188,18 @@
     return f"{service}: {len(servers)} servers known, {leaving} of them leave"
 
 
+def _describe_limits(
+    servers: list[Server], service: ServiceName, now: Instant
+) -> Failure:
+    """Return why none of the servers accepts a request now."""
+    paused = [item for item in servers if item.is_paused(now)]
+    detail = f"{len(servers)} servers of {service}, {len(paused)} of them pause"
+    if len(paused) < len(servers):
+        return RateLimited(detail)
+    ends = min(item.paused_until for item in paused)
+    return ServersPaused(detail, max(0.0, ends - now))
+
+
 def _list_candidates(
     state: BalancerState,
     routed: RoutedRequest,
--- a/src/snipecart/gateway/balancing/server.py
+++ b/src/snipecart/gateway/balancing/server.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from ...core.events import SERVER_LEAVING
+from ...core.events import SERVER_PAUSED
 from ...core.events import SERVER_RATE_LIMIT
 from ...core.events import emit
 from ...core.ids import Instant
@@ -112,6 +113,10 @@
     """Time of the latest answer that could name a rate limit."""
     leaving: bool = False
     """Whether it said in an answer that it will end soon."""
+    paused_until: Instant = Instant(-1e9)
+    """End of the pause that it asked for."""
+    on_trial: bool = False
+    """Whether it has answered no request since its pause began."""
     bucket: TokenBucket | None = None
     """Limits the rate of requests while the server is cold."""
     warm_objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
@@ -199,6 +204,8 @@
         """Return its condition; of several that apply, the most severe."""
         if self.leaving:
             return ServerCondition.LEAVING
+        if self.is_paused(now):
+            return ServerCondition.PAUSED
         if self.is_ejected(now):
             return ServerCondition.EJECTED
         if self.is_failing(now):
@@ -207,6 +214,14 @@
             return ServerCondition.SLOW
         return ServerCondition.COLD if self.is_cold(now) else ServerCondition.SOUND
 
+    def is_paused(self, now: Instant) -> bool:
+        """Return whether it wants no request now.
+
+        After a pause it gets one request at a time until it answers one, as it may ask
+        for another pause.
+        """
+        return now < self.paused_until or (self.on_trial and self.sending > 0)
+
     def is_cold(self, now: Instant) -> bool:
         """Return whether it recently started or restarted."""
         return now < self.cold_until
@@ -234,6 +249,12 @@
         if notice.leaving and not self.leaving:
             emit(SERVER_LEAVING, instance=self.instance.instance)
         self.leaving = self.leaving or notice.leaving
+        if notice.pause_s:
+            emit(SERVER_PAUSED, instance=self.instance.instance, seconds=notice.pause_s)
+            self.paused_until = Instant(now + notice.pause_s)
+        self.on_trial = notice.pause_s > 0 or (
+            self.on_trial and now < self.paused_until
+        )
 
     def record_send(
         self, end: SendOutcome, ratio: float, has_load: bool, now: Instant
--- a/src/snipecart/gateway/pipeline.py
+++ b/src/snipecart/gateway/pipeline.py
@@ -19,6 +19,7 @@
 from ..core.failures import Failure
 from ..core.failures import NoRoute
 from ..core.failures import NoRouting
+from ..core.failures import ServersPaused
 from ..core.ids import InstanceId
 from ..core.ids import Instant
 from ..core.pipe import Pipe
@@ -174,17 +175,21 @@
     failure: Failure,
     attempts: tuple[Attempt, ...],
 ) -> FailedRequest:
-    retry_after = choose_retry_after(ctx.rng, routed.req.client_timeout_ms)
+    earliest = failure.retry_after if isinstance(failure, ServersPaused) else 0.0
+    retry_after = choose_retry_after(ctx.rng, routed.req.client_timeout_ms, earliest)
     return FailedRequest(failure, False, retry_after, routed, attempts)
 
 
-def choose_retry_after(rng: Random, client_timeout_ms: int) -> float:
+def choose_retry_after(
+    rng: Random, client_timeout_ms: int, earliest: float = 0.0
+) -> float:
     """Return the seconds after which a rejected client should retry.
 
     Retries are spread at random so that they don't arrive all at once. The interval
-    grows with the client's timeout, as an overload may have ended by then.
+    grows with the client's timeout, as an overload may have ended by then. It begins
+    ``earliest`` seconds from now, or after a short wait.
     """
     spread = max(
         MIN_RETRY_SPREAD_SECONDS, RETRY_SPREAD_RATIO * client_timeout_ms / 1000
     )
-    return MIN_RETRY_AFTER_SECONDS + spread * rng.random()
+    return max(earliest, MIN_RETRY_AFTER_SECONDS) + spread * rng.random()
--- a/tests/gateway/test_server_requests.py
+++ b/tests/gateway/test_server_requests.py
@@ -7,8 +7,10 @@
 from snipecart.core.ids import Instant
 from snipecart.core.states import SendOutcome
 from snipecart.gateway.balancing.outcome import record_send
+from snipecart.gateway.balancing.selection import select_server
 from snipecart.gateway.balancing.state import remove_instance
 from snipecart.gateway.request import SendResult
+from snipecart.gateway.server_notice import NO_NOTICE
 from snipecart.gateway.server_notice import ServerNotice
 from snipecart.upstream.answers import HttpAnswer
 
@@ -74,3 +76,56 @@
     answer(gateway, routed, gateway.select(routed), LEAVING)
     gateway.add_instances(make_instance(1, born=9000))
     assert gateway.select().instance == make_instance(1).instance
+
+
+def test_a_server_that_asks_for_a_pause_gets_no_requests_meanwhile():
+    gateway = Gateway(ONE).add_instances(make_instance(1), make_instance(2))
+    paused = ask_for_pause(gateway, 3.0)
+    for _ in range(28):
+        wait(gateway, 0.1)
+        routed = gateway.request()
+        destination = gateway.select(routed)
+        assert destination.instance != paused
+        gateway.end(routed, destination)
+
+
+def test_a_service_whose_servers_all_pause_refuses_until_the_first_returns():
+    gateway = Gateway(ONE).add_instances(make_instance(1), make_instance(2))
+    ask_for_pause(gateway, 4.0)
+    wait(gateway, 0.5)
+    first = ask_for_pause(gateway, 2.0)
+    routed = gateway.request()
+    refused = select_server(
+        gateway.state, routed, "racks", frozenset(), gateway.now
+    ).error
+    assert refused.reason == "servers_paused"
+    assert refused.retry_after == pytest.approx(2.0)
+    wait(gateway, 2.1)
+    assert gateway.select().instance == first
+
+
+def test_after_a_pause_one_request_is_tried_before_others_follow():
+    gateway = Gateway(ONE).add_instances(make_instance(1))
+    ask_for_pause(gateway, 1.0)
+    wait(gateway, 1.1)
+    routed = gateway.request()
+    trial = gateway.select(routed)
+    assert gateway.select() == "servers_paused"
+    answer(gateway, routed, trial, NO_NOTICE)
+    assert [gateway.select().instance for _ in range(2)] == [trial.instance] * 2
+
+
+def test_a_pause_does_not_count_as_a_failure():
+    gateway = Gateway(ONE).add_instances(make_instance(1))
+    for _ in range(8):
+        ask_for_pause(gateway, 0.5)
+        wait(gateway, 0.6)
+    server = gateway.state.servers[make_instance(1).instance]
+    assert server.is_sound(gateway.now)
+
+
+def test_a_pause_ends_with_the_run_of_its_server():
+    gateway = Gateway(ONE).add_instances(make_instance(1))
+    ask_for_pause(gateway, 30.0)
+    gateway.add_instances(make_instance(1, born=9000))
+    assert gateway.select().instance == make_instance(1).instance
