Pass over all gateways when one has changed, not with each message

Cause: a control process compared all live gateways with the look-up index after each batch of messages, counted them for each answer, and listed them even if no departure waited for a confirmation: work that grows with the square of the fleet.

Change: these passes are made when a gateway is new or has changed, and each 0.1 s.

--- a/src/snipecart/control/discovery/gateways.py
+++ b/src/snipecart/control/discovery/gateways.py
@@ -86,6 +86,8 @@
     """Store the gateways by their ids, which are new with each start."""
 
     gateways: dict[MemberId, RegisteredGateway] = field(default_factory=dict)
+    revision: int = 0
+    """Increases when a gateway is added or changes."""
 
     def record_sync(
         self, sync: SyncRequest, push: Callable[[Any], None], now: Instant
@@ -94,9 +96,11 @@
         gateway, requests_per_s = sync.gateway, sync.requests_per_s
         known = self.gateways.get(gateway.gateway)
         if known is not None:
+            self.revision += known.gateway != gateway
             known.gateway, known.last_sync_at, known.push = gateway, now, push
             known.requests_per_s = requests_per_s
             return
+        self.revision += 1
         for other in list(self.gateways.values()):
             if other.gateway.vm == gateway.vm:
                 del self.gateways[other.gateway.gateway]
--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -64,6 +64,9 @@
 PAUSE_THRESHOLD = 1.0
 """Seconds between two batches above which this task must have been suspended."""
 
+GATEWAY_CHECK_INTERVAL = 0.1
+"""Seconds between two searches for gateways that have become silent."""
+
 SHARE_INTERVAL = 0.2
 """Seconds between two divisions of the rates of rate-limited servers."""
 
@@ -132,6 +135,10 @@
         self.rate_limits = RateLimitTable()
         self.rate_shares = RateShares()
         self._shares_due = Instant(0.0)
+        self.live_gateways = 0
+        """Number of live gateways at the last check."""
+        self._gateways_due = Instant(0.0)
+        self._gateways_revision = 0
         self._gossip_due = Instant(0.0)
         self._expire_due = Instant(0.0)
         self._last_run_at = self.started_at
@@ -164,7 +171,7 @@
                 now, everything=now < self.gossip.whole_until
             )
             self.broadcast(replace(self.gossip.take(), rate_limits=limits))
-        self._update_lookup_index(now)
+        self.check_gateways(now)
 
     def send_gossip_soon(self, now: Instant) -> None:
         """Send gossip with this batch of messages.
@@ -231,6 +238,8 @@
 
     def answer_updates(self, now: Instant) -> None:
         """Answer updates that all live gateways confirmed, or that timed out."""
+        if not self.unconfirmed:
+            return
         live = {item.gateway.gateway for item in self.gateways.live(now)}
         for item in list(self.unconfirmed):
             item.waiting &= live
@@ -262,8 +271,18 @@
             emit(INSTANCE_GONE, instance=instance.instance, sequence=instance.sequence)
         self.gateways.remove_silent(now)
 
-    def _update_lookup_index(self, now: Instant) -> None:
-        """Replace the lookup index if gateways or their states have changed."""
+    def check_gateways(self, now: Instant) -> None:
+        """Count the live gateways, and replace the lookup index if it has changed.
+
+        This takes a pass over all gateways, so it is done when one has changed, and at
+        intervals.
+        """
+        unchanged = self.gateways.revision == self._gateways_revision
+        if unchanged and now < self._gateways_due:
+            return
+        self._gateways_due = Instant(now + GATEWAY_CHECK_INTERVAL)
+        self._gateways_revision = self.gateways.revision
+        self.live_gateways = len(self.gateways.live(now))
         live = self.gateways.live(now, LOOKUP_TIMEOUT)
         gateways = tuple(item.gateway for item in live)
         before = self.lookup_index.gateways
@@ -375,6 +394,7 @@
     """Answer a gateway with the changes that it lacks."""
     sync: SyncRequest = req.message
     task.gateways.record_sync(sync, req.reply, now)
+    task.check_gateways(now)
     task.rate_limits.record(sync.rate_limits, now)
     committed_state = task.committed_state
     newer_routing = committed_state.routing_version > sync.routing_version
@@ -401,7 +421,7 @@
             committed_state.evacuated if newer_zones else (),
             committed_state.members if newer_members else (),
             committed_state.members_index,
-            len(task.gateways.live(now)),
+            task.live_gateways,
             ready,
             in_contact and now > task.started_at + SILENCE_TIMEOUT,
             sync.sent_at if leases else Instant(0.0),
