Compute the digest of a gateway's servers once for each change

Cause: a gateway publishes a view with each answer of each control process, 30 times a second with 15 of them, and computed the digest of all its servers each time; reports of rate limits passed over all servers, too.

Change: the digest is kept until a server is added, removed or updated. Only servers that have named a limit, or are listed with one, are compared.

--- a/src/snipecart/gateway/balancing/outcome.py
+++ b/src/snipecart/gateway/balancing/outcome.py
@@ -75,6 +75,8 @@
         server.record_load(sent.load_report, estimate, now)
     if sent.answer is not None and sent.end is not SendOutcome.MISDIRECTED:
         server.record_notice(sent.notice, now)
+        if server.rate_limit is not None:
+            state.limited_servers.add(destination.instance)
         if server.leaving:
             record_leaving(state, server.instance)
     if sent.end is SendOutcome.MISDIRECTED:
--- a/src/snipecart/gateway/balancing/rate_limits.py
+++ b/src/snipecart/gateway/balancing/rate_limits.py
@@ -109,6 +109,8 @@
 
 def unlisted_limits(state: BalancerState, now: Instant) -> tuple[RateLimit, ...]:
     """Return the limits in recent answers that control processes don't list so."""
+    listed = {name for name, _ in state.listed_limits.per_s}
+    names = (state.limited_servers | listed) & state.servers.keys()
     return tuple(
         RateLimit(
             server.instance.instance,
@@ -116,7 +118,7 @@
             server.rate_limit or 0.0,
             Millis(int((now - server.noticed_at) * 1000)),
         )
-        for server in state.servers.values()
+        for server in map(state.servers.__getitem__, sorted(names))
         if now < server.noticed_at + LISTING_TIME
         and server.rate_limit != state.listed_limits.of(server)
     )
--- a/src/snipecart/gateway/balancing/state.py
+++ b/src/snipecart/gateway/balancing/state.py
@@ -93,12 +93,16 @@
     """Budget of the network link of this VM."""
     spillover_meters: dict[ServiceName, SpilloverMeter] = field(default_factory=dict)
     servers: dict[InstanceId, Server] = field(default_factory=dict)
+    servers_revision: int = 0
+    """Increases when a server is added, removed or replaced by a later heartbeat."""
     removed_versions: dict[InstanceId, InstanceVersion] = field(default_factory=dict)
     """Tombstones of removed instances, so that their older heartbeats are ignored."""
     leaving_runs: dict[tuple[InstanceId, UnixMillis], None] = field(
         default_factory=dict
     )
     """Runs of backend servers that said in an answer that they leave."""
+    limited_servers: set[InstanceId] = field(default_factory=set)
+    """Servers that have named a rate limit to this gateway."""
     usual_times: dict[RouteName, float] = field(default_factory=dict)
     """Usual response time of each route, in seconds."""
     unwarmed_times: dict[RouteName, float] = field(default_factory=dict)
@@ -189,6 +193,7 @@
         added_at=now,
         leaving=(received.instance, received.born) in state.leaving_runs,
     )
+    state.servers_revision += 1
     state.preference_orders.clear()
     emit(
         SERVER_UPDATED,
@@ -210,6 +215,7 @@
         current.instance, sequence=0, cold=0
     ):
         state.preference_orders.clear()
+    state.servers_revision += 1
     current.instance = received
     current.cold_until = cold_until
 
@@ -231,6 +237,8 @@
     """Remove a backend server that is gone and keep its tombstone."""
     current = state.servers.pop(name, None)
     if current is not None:
+        state.servers_revision += 1
+        state.limited_servers.discard(name)
         _record_version(state, name, _instance_version(current.instance))
         state.preference_orders.clear()
         emit(SERVER_REMOVED, instance=name)
--- a/src/snipecart/gateway/balancing/task.py
+++ b/src/snipecart/gateway/balancing/task.py
@@ -160,6 +160,9 @@
         self.control_answered = False
         """Whether any control process has answered since the start."""
         self.retain_connections = retain_connections
+        self._digest_revision = -1
+        """Revision of the servers for which the digest was computed."""
+        self._latest_digest = 0
 
     def select_server(self, routed: RoutedRequest) -> Result[Destination, Failure]:
         """Block until the task has selected a server for a first send."""
@@ -190,7 +193,7 @@
         self.view = View(
             state.index,
             int(state.evacuation_index),
-            digest_instances(item.instance for item in state.servers.values()),
+            self._digest(),
             self.applied,
             unserved_services(state),
             state.traffic.rounded(now),
@@ -198,6 +201,14 @@
             now,
         )
 
+    def _digest(self) -> int:
+        """Return the digest of all stored instances, computed once for each change."""
+        if self._digest_revision != self.state.servers_revision:
+            self._digest_revision = self.state.servers_revision
+            servers = self.state.servers.values()
+            self._latest_digest = digest_instances(item.instance for item in servers)
+        return self._latest_digest
+
     def describe_missing_routing(self) -> str:
         """Say since when this gateway has had no routing table, and why."""
         seconds = monotonic() - self.started_at
