Refuse heartbeats with values that no process can pass on

What operators of other systems reported: one odd entry among those of the servers made the machines that read the list end again and again, or stop following it.

Cause: a heartbeat with 2^32 slots, a cold period of 50 days, a surrogate in the name of its service or an id that is no text was taken into the table, and then no gossip and no answer with it could be encoded. A duration of 400 digits raised an error that nothing handled. A port out of range went to the gateways, whose connections to it raise no OSError.

Ruled out: deeply nested documents, which were refused before (test added).

Conclusion: it could happen here; fixed where the values enter.

--- a/src/snipecart/platform/heartbeats.py
+++ b/src/snipecart/platform/heartbeats.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-import re
+from ipaddress import AddressValueError
+from ipaddress import IPv4Address
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -31,10 +32,19 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-ADDRESS = re.compile(r"\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}")
+MAX_PORT = 65_535
 
 MAX_COUNT = FINAL_SEQUENCE - 1
-"""Largest valid sequence number, time or count."""
+"""Largest valid sequence number or time."""
+
+MAX_SLOTS = 1_000_000
+"""Largest number of slots that an instance can have."""
+
+MAX_COLD_MS = 86_400_000
+"""Longest cold period in milliseconds."""
+
+MAX_NAME_BYTES = 255
+"""Longest id of an instance, or name of a service."""
 
 
 def decode_heartbeat(
@@ -58,27 +68,54 @@
     status = read_field(fields, "status", dict)
     zone = ZoneName(read_field(info, "zone", str))
     state = read_field(status, "state", str)
-    address = read_field(fields, "address", str)
-    if zone not in regions or state not in STATES or not ADDRESS.fullmatch(address):
-        raise ValueMalformed(f"zone {zone!r}, state {state!r}, address {address!r}")
+    if zone not in regions or state not in STATES:
+        raise ValueMalformed(f"zone {zone!r}, state {state!r}")
+    cold_ms = parse_duration_ms(status.get("cold_remaining", "0ms"))
+    if cold_ms > MAX_COLD_MS:
+        raise ValueMalformed(f"cold_remaining: {cold_ms} ms")
     return Instance(
-        InstanceId(name),
-        EndpointId(address),
-        ServiceName(read_field(info, "backend", str)),
+        InstanceId(_check_name(name)),
+        _read_address(fields),
+        ServiceName(_check_name(read_field(info, "backend", str))),
         regions[zone],
         zone,
-        _read_count(info, "slots"),
+        _read_count(info, "slots", MAX_SLOTS),
         EndpointState.LEAVING if state == DRAINING else EndpointState.SERVING,
         _read_count(status, "sequence"),
         UnixMillis(_read_count(fields, "born") if "born" in fields else 0),
-        Millis(parse_duration_ms(status.get("cold_remaining", "0ms"))),
+        Millis(cold_ms),
     )
 
 
-def _read_count(fields: Any, name: str) -> int:
-    """Return a number from 0 to MAX_COUNT, or raise ValueMalformed."""
+def _read_address(fields: Any) -> EndpointId:
+    """Return an IPv4 address with a port, or raise ValueMalformed."""
+    address = read_field(fields, "address", str)
+    host, _, port = address.rpartition(":")
+    try:
+        IPv4Address(host)
+    except AddressValueError as exc:
+        raise ValueMalformed(f"address: {address!r}") from exc
+    is_number = port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))
+    if not is_number or not 0 < int(port) <= MAX_PORT:
+        raise ValueMalformed(f"address: {address!r}")
+    return EndpointId(address)
+
+
+def _check_name(name: str) -> str:
+    """Return a name that every process can pass on, or raise ValueMalformed."""
+    try:
+        size = len(name.encode())
+    except UnicodeEncodeError as exc:
+        raise ValueMalformed(f"name: {name!r}") from exc
+    if not 0 < size <= MAX_NAME_BYTES:
+        raise ValueMalformed(f"name of {size} bytes")
+    return name
+
+
+def _read_count(fields: Any, name: str, largest: int = MAX_COUNT) -> int:
+    """Return a number from 0 to the largest one, or raise ValueMalformed."""
     value = read_field(fields, name, int)
-    if not 0 <= value <= MAX_COUNT:
+    if not 0 <= value <= largest:
         raise ValueMalformed(f"{name}: {value!r}")
     return value
 
@@ -88,16 +125,15 @@
 
     Only its id is set, and its start time if the body has one.
     """
-    born = 0
-    if data:
-        document = load_json(data)
-        if document.is_error():
-            return Error(BadCall(document.error.reason))
-        try:
-            if isinstance(document.ok, dict) and "born" in document.ok:
-                born = _read_count(document.ok, "born")
-        except ValueMalformed as exc:
-            return Error(BadCall(str(exc)))
+    document = load_json(data or b"{}")
+    if document.is_error():
+        return Error(BadCall(document.error.reason))
+    try:
+        _check_name(name)
+        has_start = isinstance(document.ok, dict) and "born" in document.ok
+        born = _read_count(document.ok, "born") if has_start else 0
+    except ValueMalformed as exc:
+        return Error(BadCall(str(exc)))
     return Ok(
         Instance(
             InstanceId(name),
--- a/src/snipecart/platform/values.py
+++ b/src/snipecart/platform/values.py
@@ -5,9 +5,12 @@
 import re
 from typing import Any
 
-DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
+DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)", re.ASCII)
 VERSION = re.compile(r"[0-9a-fA-F]{8}")
 
+MAX_DURATION_MS = 10.0**12
+"""Longest duration in milliseconds, some thirty years."""
+
 MS_PER_UNIT = {"ms": 1.0, "s": 1000.0}
 
 
@@ -20,7 +23,10 @@
     match = DURATION.fullmatch(value) if isinstance(value, str) else None
     if match is None:
         raise ValueMalformed(f"malformed duration: {value!r}")
-    return round(float(match[1]) * MS_PER_UNIT[match[2]])
+    milliseconds = float(match[1]) * MS_PER_UNIT[match[2]]
+    if milliseconds > MAX_DURATION_MS:
+        raise ValueMalformed(f"duration too long: {value[:40]!r}")
+    return round(milliseconds)
 
 
 def parse_version(value: Any) -> int:
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -5,6 +5,7 @@
 import ast
 import json
 from copy import deepcopy
+from ipaddress import ip_address
 from pathlib import Path
 
 import pytest
@@ -13,10 +14,13 @@
 from hypothesis import strategies as st
 
 from snipecart.core.states import EndpointState
+from snipecart.messages.discovery import InstanceChanged
 from snipecart.platform import names
 from snipecart.platform.heartbeats import decode_deregistration
 from snipecart.platform.heartbeats import decode_heartbeat
 from snipecart.platform.manifest import decode_manifest
+from snipecart.wire.codec import decode as decode_message
+from snipecart.wire.codec import encode as encode_message
 
 REGIONS = {"north-a": "north"}
 
@@ -187,3 +191,46 @@
         for node in ast.walk(ast.parse(path.read_text())):
             if isinstance(node, ast.Constant) and isinstance(node.value, str):
                 assert node.value not in platform_names, f"{path}: {node.value}"
+
+
+NESTED = b'{"a":' * 100_000 + b"1" + b"}" * 100_000
+
+
+def _odd_heartbeats():
+    """Yield heartbeats of a writer that knows no limits."""
+    info, status = HEARTBEAT["info"], HEARTBEAT["status"]
+    for number in (2**31, 2**32, 2**62, 2**63, 2**64, 10**30):
+        yield {**HEARTBEAT, "born": number}
+        yield {**HEARTBEAT, "info": {**info, "slots": number}}
+        yield {**HEARTBEAT, "status": {**status, "sequence": number}}
+        yield {**HEARTBEAT, "status": {**status, "cold_remaining": f"{number}s"}}
+    yield {**HEARTBEAT, "status": {**status, "cold_remaining": "9" * 400 + "s"}}
+    for address in ("10.0.0.1:65536", "10.0.0.1:0", "10.0.0.256:80", "١.0.0.1:80"):
+        yield {**HEARTBEAT, "address": address}
+    for name in ("\ud800", "\0", "x" * 100_000, ""):
+        yield {**HEARTBEAT, "info": {**info, "backend": name}}
+
+
+@pytest.mark.parametrize("document", _odd_heartbeats(), ids=lambda item: "")
+def test_an_odd_heartbeat_is_refused_or_passes_through_every_process(document):
+    decoded = decode_heartbeat("i-1", encode(document), REGIONS)
+    if decoded.is_error():
+        return
+    instance = decoded.ok
+    host, _, port = instance.endpoint.rpartition(":")
+    assert ip_address(host)
+    assert 0 < int(port) < 2**16
+    changed = InstanceChanged(instance, False)
+    assert decode_message(encode_message(changed)).ok.message == changed
+
+
+@pytest.mark.parametrize("name", ["\ud800", "", "x" * 100_000])
+def test_an_odd_id_names_no_server(name):
+    assert decode_heartbeat(name, encode(HEARTBEAT), REGIONS).is_error()
+    assert decode_deregistration(name, b"").is_error()
+
+
+def test_deeply_nested_documents_are_refused():
+    assert decode_heartbeat("i-1", NESTED, REGIONS).is_error()
+    assert decode_deregistration("i-1", NESTED).is_error()
+    assert decode_manifest(NESTED).is_error()
