Take no requests later than 3 s into a planned stop, and test cut-off heads

What operators of other systems reported: in a planned stop, requests that came late in the grace were taken and passed on, and cut at its end.

Cause: a stopping gateway took requests for half of the grace. With a grace of 10 s a request taken at 5 s has 3.7 s until the process must end, where work usually takes longer. With a grace of 6 s it already stopped at 3 s.

Change: 3 s at most; then requests are rejected as not run, with a Retry-After.

Another report can't happen here: a head that is cut off at any byte, by a close or a reset, is no answer.

--- a/src/snipecart/platform/settings.py
+++ b/src/snipecart/platform/settings.py
@@ -38,6 +38,13 @@
 The answers to them have as much, of which one answer may use half.
 """
 
+MAX_LINGER_SECONDS = 3.0
+"""Longest time for which a stopping gateway takes new requests.
+
+Clients may repeat a rejected request elsewhere, while one that is taken later may still
+run when the process has to end.
+"""
+
 DEFAULT_MEMORY_MB = 256.0
 """Memory of a VM whose settings state none."""
 
@@ -171,7 +178,7 @@
             answer_memory_mb=platform.memory_mb * BODY_MEMORY_FRACTION,
             max_answer_mb=platform.memory_mb * BODY_MEMORY_FRACTION / 2,
             link_mbps=platform.fields.get("limits", {}).get("link_mbps", 0.0),
-            linger_s=grace / 2,
+            linger_s=min(MAX_LINGER_SECONDS, grace / 2),
             stop_s=grace * 0.87,
         )
     )
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -111,6 +111,17 @@
     assert (result.end, result.answer) == (SendOutcome.BROKEN, None)
 
 
+@pytest.mark.parametrize("framing", [b"Content-Length: 0", b"X-Own: 1"])
+@pytest.mark.parametrize("end", [CLOSE, RESET])
+def test_a_head_that_is_cut_off_anywhere_is_no_answer(framing, end):
+    head = OWN + framing + b"\r\n\r\n"
+    backends = BackendClient("127.0.0.1", NAMES)
+    for size in range(1, len(head)):
+        with scripted_server([head[:size], end]) as server:
+            result = send(server, backends=backends)
+        assert (result.end, result.answer) == (SendOutcome.BROKEN, None), size
+
+
 def test_an_answer_without_length_ends_at_an_orderly_close():
     with scripted_server([OWN + b"\r\nall of it", CLOSE]) as server:
         result = send(server)
