Weigh a service's servers once, not for each object

Cause: each change of a server drops all orders of preference, and each order passed over all servers three times to weigh them before it hashed them: 1.4 ms with 406 servers, 2.9 with 810, for almost each request while many servers start.

The orders are the same (compared for 60 objects of two regions).

--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -122,7 +122,7 @@
     routed = make_routed(state, 1)
 
     def operation() -> None:
-        state.preference_orders.clear()
+        state.preferences.clear()
         complete_request(state, routed)
 
     return measure_us(operation, 50)
--- a/src/snipecart/gateway/balancing/preference.py
+++ b/src/snipecart/gateway/balancing/preference.py
@@ -2,24 +2,44 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from ...core.states import EndpointState
 from .hashing import region_shares
 from .hashing import rendezvous_order
+from .hashing import weigh_servers
 
 if TYPE_CHECKING:
     from ...core.ids import InstanceId
     from ...core.ids import RegionName
     from ...core.ids import ServiceName
     from ..request import RoutedRequest
+    from .hashing import WeightedServer
     from .state import BalancerState
 
 MAX_PREFERENCE_ORDERS = 4096
-"""Maximum number of cached orders.
+"""Maximum number of cached orders; the orders are dropped when there are more."""
 
-The cache is cleared when it is full, and when the backend servers change.
-"""
+
+@dataclass
+class PreferenceCache:
+    """Store orders of servers, and the weights that they are computed from.
+
+    Both are dropped when the backend servers, their zones or the routes change.
+    """
+
+    orders: dict[tuple[str, ServiceName], list[InstanceId]] = field(
+        default_factory=dict
+    )
+    """Orders by object key and service."""
+    weights: dict[ServiceName, list[WeightedServer]] = field(default_factory=dict)
+
+    def clear(self) -> None:
+        """Drop everything."""
+        self.orders.clear()
+        self.weights.clear()
 
 
 def preference_order(
@@ -31,19 +51,27 @@
     """
     key = routed.object_key
     if not key:
-        return _compute_order(state, routed.req.request_id, service)
-    order = state.preference_orders.get((key, service))
+        return rendezvous_order(routed.req.request_id, _weights(state, service))
+    orders = state.preferences.orders
+    order = orders.get((key, service))
     if order is None:
-        if len(state.preference_orders) >= MAX_PREFERENCE_ORDERS:
-            state.preference_orders.clear()
-        order = _compute_order(state, key, service)
-        state.preference_orders[(key, service)] = order
+        if len(orders) >= MAX_PREFERENCE_ORDERS:
+            orders.clear()
+        order = rendezvous_order(key, _weights(state, service))
+        orders[(key, service)] = order
     return order
 
 
-def _compute_order(
-    state: BalancerState, key: str, service: ServiceName
-) -> list[InstanceId]:
+def _weights(state: BalancerState, service: ServiceName) -> list[WeightedServer]:
+    """Return the servers of a service with their weights."""
+    weights = state.preferences.weights.get(service)
+    if weights is None:
+        weights = _weigh(state, service)
+        state.preferences.weights[service] = weights
+    return weights
+
+
+def _weigh(state: BalancerState, service: ServiceName) -> list[WeightedServer]:
     instances = [
         item.instance
         for item in state.servers.values()
@@ -55,4 +83,4 @@
         if serving and item.zone not in state.evacuated:
             slots[item.region] = slots.get(item.region, 0) + item.slots
     shares = region_shares(state.locality.region, slots, state.locality.regions)
-    return [item.instance for item in rendezvous_order(key, instances, shares)]
+    return weigh_servers(instances, shares)
--- a/src/snipecart/gateway/balancing/state.py
+++ b/src/snipecart/gateway/balancing/state.py
@@ -24,6 +24,7 @@
 from .budget import BudgetRule
 from .budget import RetryBudget
 from .link import LinkBudget
+from .preference import PreferenceCache
 from .rate_limits import ListedLimits
 from .rate_limits import RateLeases
 from .routes import RouteIndex
@@ -111,10 +112,7 @@
     p90_times: dict[RouteName, float] = field(default_factory=dict)
     """90th percentile of the response times of each route, in seconds."""
     budgets: dict[ServiceName, RetryBudget] = field(default_factory=dict)
-    preference_orders: dict[tuple[str, ServiceName], list[InstanceId]] = field(
-        default_factory=dict
-    )
-    """Cached orders of servers by object key and service."""
+    preferences: PreferenceCache = field(default_factory=PreferenceCache)
 
 
 def apply_sync(state: BalancerState, answer: SyncAnswer, now: Instant) -> None:
@@ -124,7 +122,7 @@
     if answer.evacuation_index > state.evacuation_index:
         state.evacuation_index = answer.evacuation_index
         state.evacuated = frozenset(answer.evacuated)
-        state.preference_orders.clear()
+        state.preferences.clear()
         emit(EVACUATION_IN_FORCE, zones=",".join(sorted(state.evacuated)))
     _update_gateway_count(state, answer.gateways, now)
     state.rate_leases.renew(answer)
@@ -166,7 +164,7 @@
         return
     state.index = RouteIndex(routing)
     state.traffic_splits = TrafficSplits()
-    state.preference_orders.clear()
+    state.preferences.clear()
     emit(ROUTING_IN_FORCE, version=routing.version, routes=len(routing.routes))
 
 
@@ -194,7 +192,7 @@
         leaving=(received.instance, received.born) in state.leaving_runs,
     )
     state.servers_revision += 1
-    state.preference_orders.clear()
+    state.preferences.clear()
     emit(
         SERVER_UPDATED,
         instance=received.instance,
@@ -214,7 +212,7 @@
     if replace(received, sequence=0, cold=0) != replace(
         current.instance, sequence=0, cold=0
     ):
-        state.preference_orders.clear()
+        state.preferences.clear()
     state.servers_revision += 1
     current.instance = received
     current.cold_until = cold_until
@@ -240,7 +238,7 @@
         state.servers_revision += 1
         state.limited_servers.discard(name)
         _record_version(state, name, _instance_version(current.instance))
-        state.preference_orders.clear()
+        state.preferences.clear()
         emit(SERVER_REMOVED, instance=name)
 
 
