Divide the rate of a limited server by what each region sends there

Cause: sharers were chosen among the gateways of a server's region first, then among all others with the same weight. A region with few servers of its own got no part of the limits that servers elsewhere name, though most of its requests go there; and gateways that send nothing to a region held shares of its servers that stayed unused.

Change: a gateway's weight is its requests times the part of its region's requests that goes to the region of the server, by the same function that gateways use (core/region_shares.py).

--- a/src/snipecart/control/discovery/gateways.py
+++ b/src/snipecart/control/discovery/gateways.py
@@ -93,7 +93,7 @@
         self, sync: SyncRequest, push: Callable[[Any], None], now: Instant
     ) -> None:
         """Record a sync request, and remove earlier gateway runs on the same VM."""
-        gateway, requests_per_s = sync.gateway, sync.requests_per_s
+        gateway, requests_per_s = sync.gateway, max(1, sync.requests_per_s)
         known = self.gateways.get(gateway.gateway)
         if known is not None:
             self.revision += known.gateway != gateway
--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -23,6 +23,7 @@
 from ...core.ids import VmName
 from ...core.ids import ZoneName
 from ...core.registry import Registry
+from ...core.states import EndpointState
 from ...core.task import Task
 from ...core.task import monotonic
 from ...core.token_bucket import TokenBucket
@@ -51,6 +52,8 @@
 from .table import is_leaving
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from ...messages.commands import Node
     from ...messages.discovery import Instance
     from ...messages.discovery import RateShare
@@ -208,9 +211,19 @@
         if now >= self._shares_due:
             self._shares_due = Instant(now + SHARE_INTERVAL)
             live = self.gateways.live(now, SHARE_TIMEOUT)
-            self.rate_shares.update(self._rate_limited(now), live)
+            self.rate_shares.update(
+                self._rate_limited(now), self._serving_instances(), live
+            )
         return tuple(self.rate_shares.by_vm.get(vm, ()))
 
+    def _serving_instances(self) -> Iterator[Instance]:
+        """Yield the instances that may get requests."""
+        for item in self.instances.live.values():
+            instance = item.instance
+            is_evacuated = instance.zone in self.committed_state.evacuated
+            if instance.state is EndpointState.SERVING and not is_evacuated:
+                yield instance
+
     def _rate_limited(self, now: Instant) -> list[Instance]:
         """Return the instances that are cold or have named a rate limit."""
         by_name = {item.instance: item for item in self.instances.cold(now)}
--- /dev/null
+++ b/src/snipecart/core/region_shares.py
@@ -0,0 +1,37 @@
+"""Divide the requests of a region among the regions that have backend servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from .ids import RegionName
+
+
+def region_shares(
+    home: RegionName, slots: Mapping[RegionName, int], regions: Iterable[RegionName]
+) -> dict[RegionName, float]:
+    """Return the fraction of a region's requests that each region should serve.
+
+    A region serves its own requests first; the rest goes to regions in proportion to
+    their spare slots. Assumes that all regions have the same demand, so that every
+    gateway of a region computes the same shares without coordination.
+    """
+    names = sorted(set(regions) | set(slots))
+    total = sum(slots.values())
+    if not total:
+        return {}
+    demand = total / len(names)
+    local_load = min(demand, slots.get(home, 0))
+    spare = {name: max(0.0, slots.get(name, 0) - demand) for name in names}
+    spare[home] = 0.0
+    total_spare = sum(spare.values())
+    shares = dict.fromkeys(names, 0.0)
+    shares[home] = local_load / demand
+    if total_spare:
+        for name in names:
+            shares[name] += (1 - local_load / demand) * spare[name] / total_spare
+    return shares
--- a/src/snipecart/gateway/balancing/hashing.py
+++ b/src/snipecart/gateway/balancing/hashing.py
@@ -20,32 +20,6 @@
     from ...messages.discovery import Instance
 
 
-def region_shares(
-    home: RegionName, slots: Mapping[RegionName, int], regions: Iterable[RegionName]
-) -> dict[RegionName, float]:
-    """Return the fraction of a region's requests that each region should serve.
-
-    A region serves its own requests first; the rest goes to regions in proportion to
-    their spare slots. Assumes that all regions have the same demand, so that every
-    gateway of a region computes the same shares without coordination.
-    """
-    names = sorted(set(regions) | set(slots))
-    total = sum(slots.values())
-    if not total:
-        return {}
-    demand = total / len(names)
-    local_load = min(demand, slots.get(home, 0))
-    spare = {name: max(0.0, slots.get(name, 0) - demand) for name in names}
-    spare[home] = 0.0
-    total_spare = sum(spare.values())
-    shares = dict.fromkeys(names, 0.0)
-    shares[home] = local_load / demand
-    if total_spare:
-        for name in names:
-            shares[name] += (1 - local_load / demand) * spare[name] / total_spare
-    return shares
-
-
 @dataclass(frozen=True)
 class WeightedServer:
     """Store what a backend server's score for any object is computed from."""
--- a/src/snipecart/gateway/balancing/preference.py
+++ b/src/snipecart/gateway/balancing/preference.py
@@ -6,8 +6,8 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from ...core.region_shares import region_shares
 from ...core.states import EndpointState
-from .hashing import region_shares
 from .hashing import rendezvous_order
 from .hashing import weigh_servers
 
--- a/tests/gateway/test_balancing.py
+++ b/tests/gateway/test_balancing.py
@@ -5,9 +5,9 @@
 from collections import Counter
 
 from snipecart.core.ids import Instant
+from snipecart.core.region_shares import region_shares
 from snipecart.core.states import EndpointState
 from snipecart.core.states import SendOutcome
-from snipecart.gateway.balancing.hashing import region_shares
 from snipecart.gateway.balancing.state import GATEWAY_COUNT_DELAY
 from snipecart.gateway.balancing.state import PROPAGATION_TIME
 from snipecart.gateway.balancing.state import apply_departure
