Split the handlers from the discovery task, and skip the rates of servers without any

The check whether a server accepts a request looks at rates only where the server is cold or has named a limit, or any limit is listed; it is made for each server of a service when the most preferred one is busy. No other change of behaviour.

--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -3,58 +3,44 @@
 from __future__ import annotations
 
 import uuid
-from collections.abc import Callable
-from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
 from ...core.events import GATEWAY_ACTIVE
 from ...core.events import GATEWAY_INACTIVE
-from ...core.events import HEARTBEAT_STALE
 from ...core.events import HEARTBEAT_UNCONFIRMED
 from ...core.events import INSTANCE_CHANGED
 from ...core.events import INSTANCE_GONE
 from ...core.events import emit
 from ...core.ids import Instant
-from ...core.ids import LogIndex
 from ...core.ids import MemberId
-from ...core.ids import RoutingVersion
 from ...core.ids import VmName
-from ...core.ids import ZoneName
-from ...core.registry import Registry
 from ...core.states import EndpointState
 from ...core.task import Task
 from ...core.task import monotonic
 from ...core.token_bucket import TokenBucket
-from ...messages.discovery import Gossip
 from ...messages.discovery import InstanceChanged
-from ...messages.discovery import InstanceSeen
-from ...messages.discovery import RoutingChanged
-from ...messages.discovery import SyncAnswer
-from ...messages.discovery import SyncRequest
 from ...wire.links import IncomingMessage
 from .change_feed import FULL_SYNC_SERVERS_PER_SECOND
 from .change_feed import ChangeFeed
-from .gateways import CONFIRMATION_TIMEOUT
 from .gateways import LOOKUP_TIMEOUT
 from .gateways import SHARE_TIMEOUT
 from .gateways import GatewayTable
 from .gateways import LookupIndex
 from .gateways import UnconfirmedUpdate
 from .gossip import GossipState
+from .handlers import HANDLERS
 from .rate_limits import RateLimitTable
 from .rate_shares import RateShares
-from .table import SILENCE_TIMEOUT
 from .table import Change
 from .table import InstanceTable
-from .table import UpdateVerdict
-from .table import is_leaving
+from .updates import CommittedState
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
-    from ...messages.commands import Node
     from ...messages.discovery import Instance
     from ...messages.discovery import RateShare
 
@@ -80,37 +66,6 @@
 """
 
 
-@dataclass(frozen=True)
-class InstanceUpdate:
-    """Pass a heartbeat or departure to the task.
-
-    ``reply`` is called with whether the update is confirmed.
-    """
-
-    instance: Instance
-    gone: bool
-    reply: Callable[[bool], None]
-
-
-@dataclass(frozen=True)
-class CommittedState:
-    """Describe the routing table, evacuations and members that the log committed."""
-
-    routing_version: RoutingVersion = RoutingVersion(0)
-    routing: bytes = b""
-    evacuation_index: LogIndex = LogIndex(0)
-    evacuated: tuple[ZoneName, ...] = ()
-    voters: tuple[Node, ...] = ()
-    members: tuple[Node, ...] = ()
-    """Voters and learners of the last committed membership change."""
-    members_index: LogIndex = LogIndex(0)
-
-
-Handler = Callable[["DiscoveryTask", Any, Instant], None]
-
-HANDLERS: Registry[type[Any], Handler] = Registry("handlers of discovery messages")
-
-
 class DiscoveryTask(Task):
     """Own the tables of instances and gateways of one control process."""
 
@@ -306,140 +261,3 @@
         for item in set(gateways) - set(before):
             emit(GATEWAY_ACTIVE, gateway=item.gateway, state=item.state)
         self.lookup_index = LookupIndex(gateways)
-
-
-@HANDLERS.register(InstanceUpdate)
-def handle_update(task: DiscoveryTask, update: InstanceUpdate, now: Instant) -> None:
-    """Record a heartbeat or departure that a backend server sent to this process.
-
-    The update of a leaving instance is confirmed once every live gateway has
-    confirmed it.
-    """
-    leaving = is_leaving(Change(update.instance, update.gone))
-    if not task.accepts_updates(leaving, now):
-        emit(HEARTBEAT_UNCONFIRMED, instance=update.instance.instance, waiting="quorum")
-        update.reply(False)
-        return
-    result = task.instances.apply_update(update.instance, update.gone, now)
-    if result.verdict is UpdateVerdict.STALE:
-        emit(HEARTBEAT_STALE, instance=update.instance.instance)
-    else:
-        _forward(task, update, result.verdict, now)
-    waiting = task.push_changes(_urgent_changes(task, result.changes, now), now)
-    if not leaving or result.verdict is UpdateVerdict.STALE:
-        update.reply(True)
-        return
-    task.send_gossip_soon(now)
-    if not result.changes:
-        waiting = task.push_changes([Change(result.received, update.gone)], now)
-    task.unconfirmed.append(
-        UnconfirmedUpdate(
-            result.received.instance,
-            result.received.sequence,
-            set(waiting),
-            Instant(now + CONFIRMATION_TIMEOUT),
-            update.reply,
-        )
-    )
-
-
-def _forward(
-    task: DiscoveryTask, update: InstanceUpdate, verdict: UpdateVerdict, now: Instant
-) -> None:
-    """Add a heartbeat or departure to the next gossip."""
-    if update.gone:
-        task.gossip.forward_departure(update.instance)
-    elif verdict is UpdateVerdict.REPEATED:
-        task.gossip.forward_repeated(task.instances, update.instance, now)
-    else:
-        task.gossip.forward(task.instances, update.instance, now)
-
-
-def _urgent_changes(
-    task: DiscoveryTask, changes: tuple[Change, ...], now: Instant
-) -> list[Change]:
-    """Return the changes to push at once; gateways request the others.
-
-    While this process settles, all servers are new to it. Pushing each of them to each
-    gateway would cost more than the gateways' next requests, which get them together.
-    """
-    if task.is_settled(now):
-        return list(changes)
-    return [change for change in changes if is_leaving(change)]
-
-
-@HANDLERS.register(InstanceSeen)
-def handle_confirmation(
-    task: DiscoveryTask, req: IncomingMessage, now: Instant
-) -> None:
-    """Remove a gateway from those that updates of leaving instances wait for."""
-    for item in task.unconfirmed:
-        item.record_confirmation(req.message)
-
-
-@HANDLERS.register(Gossip)
-def handle_gossip(task: DiscoveryTask, req: IncomingMessage, now: Instant) -> None:
-    """Record the heartbeats that another control process received and pushed."""
-    gossip: Gossip = req.message
-    task.gossip.record_contact(gossip, task.instances, now)
-    for item in gossip.heard:
-        task.instances.apply_update(item.instance, item.gone, now)
-    for item in gossip.repeated:
-        task.instances.touch(item, now)
-    task.rate_limits.record(gossip.rate_limits, now)
-
-
-@HANDLERS.register(CommittedState)
-def handle_committed_state(
-    task: DiscoveryTask, committed_state: CommittedState, now: Instant
-) -> None:
-    """Notify the gateways of a newer routing table or newer evacuations."""
-    before, task.committed_state = task.committed_state, committed_state
-    versions = (committed_state.routing_version, committed_state.evacuation_index)
-    if versions == (before.routing_version, before.evacuation_index):
-        return
-    for item in task.gateways.live(now):
-        item.push(RoutingChanged(*versions))
-
-
-@HANDLERS.register(SyncRequest)
-def handle_sync(task: DiscoveryTask, req: IncomingMessage, now: Instant) -> None:
-    """Answer a gateway with the changes that it lacks."""
-    sync: SyncRequest = req.message
-    task.gateways.record_sync(sync, req.reply, now)
-    task.check_gateways(now)
-    task.rate_limits.record(sync.rate_limits, now)
-    committed_state = task.committed_state
-    newer_routing = committed_state.routing_version > sync.routing_version
-    sends_routing = sync.wants_routing and newer_routing
-    newer_members = committed_state.members_index > sync.control_index
-    newer_zones = committed_state.evacuation_index > sync.evacuation_index
-    feed = task.change_feed.changes_for(sync, now)
-    changes = feed.changes if feed is not None else ()
-    in_contact = task.in_contact(now)
-    ready = in_contact and task.is_settled(now)
-    leases = ready and (sync.wants_changes or sync.source == task.run_id)
-    limits_revision = task.rate_limits.revision
-    lists_limits = leases and sync.limits_revision != limits_revision
-    req.reply(
-        SyncAnswer(
-            task.run_id if feed is not None else "",
-            task.instances.revision if feed is not None else 0,
-            feed is not None and not feed.incremental and ready,
-            tuple(item.instance for item in changes if not item.gone),
-            tuple(item.instance.instance for item in changes if item.gone),
-            committed_state.routing_version,
-            committed_state.routing if sends_routing else b"",
-            committed_state.evacuation_index,
-            committed_state.evacuated if newer_zones else (),
-            committed_state.members if newer_members else (),
-            committed_state.members_index,
-            task.live_gateways,
-            ready,
-            in_contact and now > task.started_at + SILENCE_TIMEOUT,
-            sync.sent_at if leases else Instant(0.0),
-            task.share_rates(sync.gateway.vm, now) if leases else (),
-            limits_revision if lists_limits else 0,
-            task.rate_limits.in_force(now) if lists_limits else (),
-        )
-    )
--- /dev/null
+++ b/src/snipecart/control/discovery/updates.py
@@ -0,0 +1,42 @@
+"""Declare the messages of a control process to its discovery task."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ...core.ids import LogIndex
+from ...core.ids import RoutingVersion
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ...core.ids import ZoneName
+    from ...messages.commands import Node
+    from ...messages.discovery import Instance
+
+
+@dataclass(frozen=True)
+class InstanceUpdate:
+    """Pass a heartbeat or departure to the task.
+
+    ``reply`` is called with whether the update is confirmed.
+    """
+
+    instance: Instance
+    gone: bool
+    reply: Callable[[bool], None]
+
+
+@dataclass(frozen=True)
+class CommittedState:
+    """Describe the routing table, evacuations and members that the log committed."""
+
+    routing_version: RoutingVersion = RoutingVersion(0)
+    routing: bytes = b""
+    evacuation_index: LogIndex = LogIndex(0)
+    evacuated: tuple[ZoneName, ...] = ()
+    voters: tuple[Node, ...] = ()
+    members: tuple[Node, ...] = ()
+    """Voters and learners of the last committed membership change."""
+    members_index: LogIndex = LogIndex(0)
--- a/src/snipecart/control/factory.py
+++ b/src/snipecart/control/factory.py
@@ -27,7 +27,7 @@
 from ..wire.links import IncomingMessage
 from ..wire.links import Link
 from ..wire.links import Listener
-from .discovery.task import HANDLERS as DISCOVERY_HANDLERS
+from .discovery.handlers import HANDLERS as DISCOVERY_HANDLERS
 from .discovery.task import DiscoveryTask
 from .disk.store import RecoveredState
 from .disk.store import Store
--- a/src/snipecart/control/node.py
+++ b/src/snipecart/control/node.py
@@ -25,7 +25,7 @@
 from ..text.parse import parse_text
 from ..wire.links import IncomingMessage
 from . import raft
-from .discovery.task import CommittedState
+from .discovery.updates import CommittedState
 from .effects import EFFECTS
 from .leader import AcceptedText
 from .leader import LeaderState
--- a/src/snipecart/gateway/balancing/rate_limits.py
+++ b/src/snipecart/gateway/balancing/rate_limits.py
@@ -128,6 +128,8 @@
     """Return whether a server accepts a request of this gateway now."""
     if server.is_paused(now):
         return False
+    if not (state.listed_limits.per_s or server.may_limit_rate(now)):
+        return True
     bucket = _leased_bucket(state, server, now)
     return bucket is None or bucket.has(now)
 
--- a/src/snipecart/gateway/balancing/server.py
+++ b/src/snipecart/gateway/balancing/server.py
@@ -222,6 +222,10 @@
         """
         return now < self.paused_until or (self.on_trial and self.sending > 0)
 
+    def may_limit_rate(self, now: Instant) -> bool:
+        """Return whether it is cold or has named a rate limit to this gateway."""
+        return self.rate_limit is not None or now < self.cold_until
+
     def is_cold(self, now: Instant) -> bool:
         """Return whether it recently started or restarted."""
         return now < self.cold_until
--- a/src/snipecart/platform/calls.py
+++ b/src/snipecart/platform/calls.py
@@ -14,7 +14,7 @@
 from expression import Ok
 from expression import Result
 
-from ..control.discovery.task import InstanceUpdate
+from ..control.discovery.updates import InstanceUpdate
 from ..control.metrics import REFUSALS
 from ..control.requests import AwaitLeader
 from ..control.requests import ReadRouting
--- a/tests/control/fleet_simulation.py
+++ b/tests/control/fleet_simulation.py
@@ -11,9 +11,9 @@
 from itertools import count
 from time import process_time
 
-from snipecart.control.discovery.task import CommittedState
 from snipecart.control.discovery.task import DiscoveryTask
-from snipecart.control.discovery.task import InstanceUpdate
+from snipecart.control.discovery.updates import CommittedState
+from snipecart.control.discovery.updates import InstanceUpdate
 from snipecart.core.ids import Instant
 from snipecart.core.states import MemberState
 from snipecart.gateway import sync as sync_module
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -9,9 +9,9 @@
 from snipecart.control.discovery.table import SILENCE_TIMEOUT
 from snipecart.control.discovery.table import InstanceTable
 from snipecart.control.discovery.table import UpdateVerdict
-from snipecart.control.discovery.task import CommittedState
 from snipecart.control.discovery.task import DiscoveryTask
-from snipecart.control.discovery.task import InstanceUpdate
+from snipecart.control.discovery.updates import CommittedState
+from snipecart.control.discovery.updates import InstanceUpdate
 from snipecart.control.inspect import describe_discovery
 from snipecart.core.ids import Instant
 from snipecart.core.states import EndpointState
