--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from snipecart.control.discovery.gateways import LookupIndex
+from snipecart.control.discovery.gateways import RegisteredGateway
+from snipecart.control.discovery.rate_shares import RateShares
 from snipecart.control.discovery.table import InstanceTable
 from snipecart.core.ids import Instant
 from snipecart.core.states import EndpointState
@@ -14,6 +16,7 @@
 from snipecart.gateway.balancing.state import BalancerState
 from snipecart.gateway.balancing.state import Locality
 from snipecart.gateway.balancing.state import apply_instance
+from snipecart.gateway.load_report import LoadReport
 from snipecart.gateway.request import HttpRequest
 from snipecart.gateway.request import RoutedRequest
 from snipecart.gateway.request import SendResult
@@ -96,7 +99,7 @@
         state,
         routed,
         destination,
-        SendResult(SendOutcome.ANSWERED, 0.2, None, (3, 0, 9)),
+        SendResult(SendOutcome.ANSWERED, 0.2, None, LoadReport(3, 0, 9)),
         NOW,
     )
 
@@ -177,3 +180,33 @@
     ]
     index = LookupIndex(gateways)
     return measure_us(lambda: index.select_gateways(REGIONS[0], "z", 16), 500)
+
+
+LIMITED_SERVERS = 300
+"""Servers that are cold, or have named a rate limit, at the same time."""
+
+
+@register_slope("division of the rates of limited servers", "us", 7, 33, 100, 930)
+def measure_rate_shares(count: int) -> float:
+    """Measure a division that changes nothing; each control process makes 5 a second.
+
+    A first division hashes each server with the gateways of the regions that use it.
+    """
+    gateways = [
+        RegisteredGateway(
+            Gateway(
+                f"g{number}/1",
+                f"g{number}",
+                REGIONS[number % len(REGIONS)],
+                "z",
+                "10.0.0.1:80",
+                MemberState.SERVING,
+            ),
+            NOW,
+            lambda message: None,
+        )
+        for number in range(count)
+    ]
+    servers = [make_instance(number) for number in range(LIMITED_SERVERS)]
+    shares = RateShares()
+    return measure_us(lambda: shares.update(servers, servers, gateways), 50)
