Keep the longest pause that a server asks for

Cause: of two requests that a server refused, the later refusal's shorter pause replaced the longer one, and the server got requests before the first pause had ended.

Figures: test_a_later_refusal_does_not_shorten_a_pause failed before, passes now.

--- a/src/snipecart/gateway/balancing/server.py
+++ b/src/snipecart/gateway/balancing/server.py
@@ -118,7 +118,7 @@
     on_trial: bool = False
     """Whether it has answered no request since its pause began."""
     bucket: TokenBucket | None = None
-    """Limits the rate of requests while the server is cold."""
+    """Limits the rate of requests while the server is cold or names a limit."""
     warm_objects: OrderedDict[str, None] = field(default_factory=OrderedDict)
     """Objects that it answered requests for, the most recent last."""
     added_at: Instant = Instant(0.0)
@@ -255,7 +255,8 @@
         self.leaving = self.leaving or notice.leaving
         if notice.pause_s:
             emit(SERVER_PAUSED, instance=self.instance.instance, seconds=notice.pause_s)
-            self.paused_until = Instant(now + notice.pause_s)
+            end = Instant(now + notice.pause_s)
+            self.paused_until = max(self.paused_until, end)
         self.on_trial = notice.pause_s > 0 or (
             self.on_trial and now < self.paused_until
         )
--- a/tests/gateway/test_server_requests.py
+++ b/tests/gateway/test_server_requests.py
@@ -129,3 +129,14 @@
     ask_for_pause(gateway, 30.0)
     gateway.add_instances(make_instance(1, born=9000))
     assert gateway.select().instance == make_instance(1).instance
+
+
+def test_a_later_refusal_does_not_shorten_a_pause():
+    gateway = Gateway(ONE).add_instances(make_instance(1))
+    first, second = gateway.request(), gateway.request()
+    ends = [(first, gateway.select(first), 5.0), (second, gateway.select(second), 0.5)]
+    for routed, destination, seconds in ends:
+        notice = ServerNotice(pause_s=seconds)
+        answer(gateway, routed, destination, notice, SendOutcome.REJECTED, 503)
+    wait(gateway, 4.0)
+    assert gateway.select() == "servers_paused"
