--- a/src/snipecart/cli/fleet.py
+++ b/src/snipecart/cli/fleet.py
@@ -83,17 +83,26 @@
             f" {budget['firsts']} requests"
         )
     for server in balancing["servers"]:
-        if server["observed"] not in (ServerCondition.SOUND, ServerCondition.COLD):
+        is_sound = server["observed"] in (ServerCondition.SOUND, ServerCondition.COLD)
+        if not is_sound or server.get("accepted_per_s") is not None:
             lines.append(f"  {_describe_server(server)}")
     return lines
 
 
 def _describe_server(server: dict[str, Any]) -> str:
-    return (
+    text = (
         f"{server['instance']} of {server['service']} in {server['zone']}:"
         f" {server['state']}, {server['observed']}, load {server['load']} of"
         f" {server['slots']} slots, load report {server['report_ms']} ms old"
     )
+    if server.get("paused_ms"):
+        text += f", wants nothing for {server['paused_ms']} ms"
+    if server.get("accepted_per_s") is not None:
+        text += (
+            f", accepts {server['accepted_per_s']:g} requests/s in all,"
+            f" {server['leased_per_s']:g} of them from here"
+        )
+    return text
 
 
 def _describe_control(
--- a/src/snipecart/gateway/balancing/rate_limits.py
+++ b/src/snipecart/gateway/balancing/rate_limits.py
@@ -142,7 +142,7 @@
     return bucket is None or bucket.try_acquire(now)
 
 
-def _share(state: BalancerState, server: Server, now: Instant) -> float:
+def usable_share(state: BalancerState, server: Server, now: Instant) -> float:
     """Return the fraction of a server's rate that this gateway may use.
 
     Without any valid lease, gateways split a named limit evenly, and begin slowly:
@@ -165,7 +165,7 @@
     if rate is None:
         server.bucket = None
         return None
-    leased = rate * _share(state, server, now)
+    leased = rate * usable_share(state, server, now)
     if server.bucket is None:
         is_leased = now < state.rate_leases.until and leased > 0
         tokens = LEASED_BURST if is_leased else 0.0
--- a/src/snipecart/gateway/inspect.py
+++ b/src/snipecart/gateway/inspect.py
@@ -18,6 +18,8 @@
 from ..core.ids import VmName
 from ..core.ids import ZoneName
 from .balancing.preference import preference_order
+from .balancing.rate_limits import accepted_rate
+from .balancing.rate_limits import usable_share
 from .balancing.selection import select_server
 from .request import HttpRequest
 from .request import RoutedRequest
@@ -48,6 +50,12 @@
     slots: int
     report_ms: int
     """Age of the last load report, in milliseconds."""
+    accepted_per_s: float | None
+    """Requests per second that it accepts from all gateways; None without a limit."""
+    leased_per_s: float | None
+    """Part of them that this gateway may send; None without a limit."""
+    paused_ms: int
+    """Time for which it still wants no requests, in milliseconds."""
 
 
 @dataclass(frozen=True)
@@ -98,9 +106,11 @@
     """Servers of the service in order of preference for the object."""
 
 
-def describe_server(server: Server, now: Instant) -> ServerStatus:
+def describe_server(state: BalancerState, server: Server, now: Instant) -> ServerStatus:
     """Return the state of a backend server."""
     instance = server.instance
+    accepted = accepted_rate(state, server, now)
+    leased = accepted and round(accepted * usable_share(state, server, now), 2)
     return ServerStatus(
         instance.instance,
         instance.service,
@@ -111,6 +121,9 @@
         round(server.load(now), 1),
         server.slots,
         server.load_report_age_ms(now),
+        accepted,
+        leased,
+        max(0, int((server.paused_until - now) * 1000)),
     )
 
 
@@ -124,7 +137,7 @@
             BudgetStatus(service, len(budget.retries), len(budget.first_sends))
             for service, budget in sorted(state.budgets.items())
         ),
-        tuple(describe_server(item, now) for item in state.servers.values()),
+        tuple(describe_server(state, item, now) for item in state.servers.values()),
     )
 
 
@@ -157,7 +170,7 @@
     copy = replace(
         state, servers=servers, spillover_meters=deepcopy(state.spillover_meters)
     )
-    statuses = tuple(describe_server(state.servers[name], now) for name in order)
+    statuses = tuple(describe_server(state, state.servers[name], now) for name in order)
     selection = select_server(copy, routed, service, frozenset(), now)
     if selection.is_error():
         failure = selection.error
--- a/tests/gateway/test_inspect.py
+++ b/tests/gateway/test_inspect.py
@@ -4,6 +4,7 @@
 
 from copy import deepcopy
 
+from snipecart.core.ids import Instant
 from snipecart.core.states import SendOutcome
 from snipecart.core.states import ServerCondition
 from snipecart.gateway.inspect import describe_balancer
@@ -58,3 +59,13 @@
     conditions = {item.observed for item in status.servers}
     assert ServerCondition.EJECTED in conditions
     assert status.routing_version == 1
+
+
+def test_the_limits_of_a_server_are_described():
+    cold = make_instance(1, cold=60_000)
+    gateway = Gateway(ONE).add_instances(cold).lease(cold, 0.25)
+    status = describe_balancer(gateway.state, gateway.now).servers[0]
+    assert (status.accepted_per_s, status.leased_per_s) == (10.0, 2.5)
+    gateway.state.servers[cold.instance].paused_until = Instant(gateway.now + 2.0)
+    status = describe_balancer(gateway.state, gateway.now).servers[0]
+    assert (status.observed, status.paused_ms) == (ServerCondition.PAUSED, 2000)
