--- a/src/snipecart/control/discovery/handlers.py
+++ b/src/snipecart/control/discovery/handlers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -144,28 +145,36 @@
     changes = feed.changes if feed is not None else ()
     in_contact = task.in_contact(now)
     ready = in_contact and task.is_settled(now)
-    leases = ready and (sync.wants_changes or sync.source == task.run_id)
-    limits_revision = task.rate_limits.revision
-    lists_limits = leases and sync.limits_revision != limits_revision
-    req.reply(
-        SyncAnswer(
-            task.run_id if feed is not None else "",
-            task.instances.revision if feed is not None else 0,
-            feed is not None and not feed.incremental and ready,
-            tuple(item.instance for item in changes if not item.gone),
-            tuple(item.instance.instance for item in changes if item.gone),
-            committed_state.routing_version,
-            committed_state.routing if sends_routing else b"",
-            committed_state.evacuation_index,
-            committed_state.evacuated if newer_zones else (),
-            committed_state.members if newer_members else (),
-            committed_state.members_index,
-            task.live_gateways,
-            ready,
-            in_contact and now > task.started_at + SILENCE_TIMEOUT,
-            sync.sent_at if leases else Instant(0.0),
-            task.share_rates(sync.gateway.vm, now) if leases else (),
-            limits_revision if lists_limits else 0,
-            task.rate_limits.in_force(now) if lists_limits else (),
-        )
+    answer = SyncAnswer(
+        source=task.run_id if feed is not None else "",
+        revision=task.instances.revision if feed is not None else 0,
+        complete=feed is not None and not feed.incremental and ready,
+        instances=tuple(item.instance for item in changes if not item.gone),
+        gone=tuple(item.instance.instance for item in changes if item.gone),
+        routing_version=committed_state.routing_version,
+        routing=committed_state.routing if sends_routing else b"",
+        evacuation_index=committed_state.evacuation_index,
+        evacuated=committed_state.evacuated if newer_zones else (),
+        control=committed_state.members if newer_members else (),
+        control_index=committed_state.members_index,
+        gateways=task.live_gateways,
+        ready=ready,
+        absent_are_gone=in_contact and now > task.started_at + SILENCE_TIMEOUT,
+    )
+    follows = sync.wants_changes or sync.source == task.run_id
+    req.reply(_add_rates(task, sync, answer, now) if ready and follows else answer)
+
+
+def _add_rates(
+    task: DiscoveryTask, sync: SyncRequest, answer: SyncAnswer, now: Instant
+) -> SyncAnswer:
+    """Lease a gateway its shares, and list the rate limits if they have changed."""
+    limits = task.rate_limits
+    lists_limits = sync.limits_revision != limits.revision
+    return replace(
+        answer,
+        lease_start=sync.sent_at,
+        rate_shares=task.share_rates(sync.gateway.vm, now),
+        limits_revision=limits.revision if lists_limits else 0,
+        rate_limits=limits.in_force(now) if lists_limits else (),
     )
