Compare three divisions of a cold server's rate, and keep the losers as baselines

The choice of a server's sharers is a registered policy: few (in force), even, by traffic.

The test of the flood finds both baselines at 33 gateways.

--- a/src/snipecart/control/discovery/rate_shares.py
+++ b/src/snipecart/control/discovery/rate_shares.py
@@ -8,12 +8,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 from heapq import nlargest
 from typing import TYPE_CHECKING
 
 from ...core.region_shares import region_shares
+from ...core.registry import Registry
 from ...core.rendezvous import rendezvous_score
 from ...core.states import MemberState
 from ...messages.discovery import RateShare
@@ -46,6 +48,15 @@
 """Requests that each gateway would send to the servers of a service in a region."""
 
 
+Scores = dict["VmName", float]
+"""Rendezvous scores of gateways for one server, before weighting."""
+
+DivisionPolicy = Callable[["Instance", Weights, Scores], Weights]
+
+DIVISION_POLICIES: Registry[str, DivisionPolicy] = Registry("division policies")
+"""Policies that choose the gateways of a server and their parts of its rate."""
+
+
 @dataclass
 class RateShares:
     """Divide the rate of each rate-limited server among a few gateways.
@@ -56,13 +67,15 @@
     one sharer of a server. Gateways are hashed by their VMs, so a restart changes none.
     """
 
+    policy: str = "few"
+    """Key of a division policy."""
     by_vm: dict[VmName, list[RateShare]] = field(default_factory=dict)
     """Shares of each gateway, as of the latest update."""
     _by_server: dict[InstanceId, dict[VmName, RateShare]] = field(default_factory=dict)
     _weights: dict[tuple[ServiceName, RegionName], Weights] = field(
         default_factory=dict
     )
-    _scores: dict[InstanceId, dict[VmName, float]] = field(default_factory=dict)
+    _scores: dict[InstanceId, Scores] = field(default_factory=dict)
     """Scores of gateways for the servers of the latest update, before weighting."""
 
     def update(
@@ -93,22 +106,40 @@
                 self.by_vm.setdefault(vm, []).append(share)
 
     def _divide(self, server: Instance, weights: Weights) -> dict[VmName, RateShare]:
-        """Return the shares of the gateways with the highest scores for a server."""
-        scores = self._scores[server.instance]
-
-        def score(vm: VmName) -> float:
-            if vm not in scores:
-                scores[vm] = rendezvous_score(server.instance, vm, 1.0)
-            return scores[vm] * weights[vm]
-
-        sharers = nlargest(MAX_SHARERS, weights, key=score)
-        total = sum(weights[vm] for vm in sharers)
+        """Return the shares of the gateways that the policy chooses for a server."""
+        policy = DIVISION_POLICIES.get(self.policy)
+        chosen = policy(server, weights, self._scores[server.instance])
+        total = sum(chosen.values())
         return {
-            vm: RateShare(server.instance, server.born, weights[vm] / total)
-            for vm in sharers
+            vm: RateShare(server.instance, server.born, weight / total)
+            for vm, weight in chosen.items()
         }
 
 
+@DIVISION_POLICIES.register("few")
+def divide_among_few(server: Instance, weights: Weights, scores: Scores) -> Weights:
+    """Choose the gateways with the highest scores for a server."""
+
+    def score(vm: VmName) -> float:
+        if vm not in scores:
+            scores[vm] = rendezvous_score(server.instance, vm, 1.0)
+        return scores[vm] * weights[vm]
+
+    return {vm: weights[vm] for vm in nlargest(MAX_SHARERS, weights, key=score)}
+
+
+@DIVISION_POLICIES.register("even")
+def divide_evenly(server: Instance, weights: Weights, scores: Scores) -> Weights:
+    """Choose all gateways with the same weight, as a baseline."""
+    return dict.fromkeys(weights, 1.0)
+
+
+@DIVISION_POLICIES.register("by-traffic")
+def divide_by_traffic(server: Instance, weights: Weights, scores: Scores) -> Weights:
+    """Choose all gateways with the weights of their requests, as a baseline."""
+    return weights
+
+
 def _weigh_gateways(
     limited: Iterable[Instance],
     servers: Iterable[Instance],
--- a/tests/control/test_cold_rates.py
+++ b/tests/control/test_cold_rates.py
@@ -98,3 +98,14 @@
     fleet.cuts.clear()
     fleet.offer(gateways * REQUESTS_PER_GATEWAY, 3.0)
     assert_within_rate(fleet, cold)
+
+
+@pytest.mark.parametrize("policy", ["even", "by-traffic"])
+def test_a_burst_of_each_gateway_is_detected(monkeypatch, policy):
+    fleet = make_fleet(monkeypatch, 33)
+    for task in fleet.control.values():
+        task.rate_shares.policy = policy
+    cold = fleet.start_cold(4, COLD_SECONDS)
+    fleet.offer(33 * REQUESTS_PER_GATEWAY, 3.0)
+    with pytest.raises(AssertionError):
+        assert_within_rate(fleet, cold)
