--- a/tests/control/rate_simulation.py
+++ b/tests/control/rate_simulation.py
@@ -155,13 +155,17 @@
         )
         route = state.index.find(req.host, req.target)
         routed = RoutedRequest(req, route, 1, Instant(self.now + 1.5))
-        fut = Future()
-        gateway._balancer.handle([SelectServer(routed, fut)], Instant(self.now))
-        selected = fut.result()
+        selected = self.select(gateway, routed)
         if selected.is_ok():
             self.arrivals[selected.ok.instance].append(self.now)
             self.after(WORK_SECONDS, self._end, state, routed, selected.ok)
 
+    def select(self, gateway, routed):
+        """Select a server for a request."""
+        fut = Future()
+        gateway._balancer.handle([SelectServer(routed, fut)], Instant(self.now))
+        return fut.result()
+
     def _end(self, state, routed, destination):
         notice = ServerNotice(rate_limit=self.limits.get(destination.instance))
         sent = SendResult(SendOutcome.ANSWERED, WORK_SECONDS, OK, None, notice)
