--- a/src/snipecart/control/discovery/rate_shares.py
+++ b/src/snipecart/control/discovery/rate_shares.py
@@ -30,24 +30,22 @@
     from ...messages.discovery import Instance
     from .gateways import RegisteredGateway
 
-MAX_SHARERS = 4
+MAX_HOLDERS = 4
 """Gateways that share the rate of one server.
 
 Each may send one request at once, so this also bounds the burst of a server. It is
 more than one, so that a server is still used while one of them has failed.
 """
 
-
 SHARE_DIGITS = 2
 """Decimal digits to which the parts that regions send to others are rounded.
 
-Rounded parts seldom change, so that most sharers stand from one update to the next.
+Rounded parts seldom change, so that most holders stand from one update to the next.
 """
 
 Weights = dict["VmName", float]
 """Requests that each gateway would send to the servers of a service in a region."""
 
-
 Scores = dict["VmName", float]
 """Rendezvous scores of gateways for one server, before weighting."""
 
@@ -64,7 +62,7 @@
     Gateways are chosen by weighted rendezvous hashing, and get shares in proportion to
     the requests that they would send to a server. Control processes that know the same
     gateways and servers choose the same. A gateway that starts or fails changes at most
-    one sharer of a server. Gateways are hashed by their VMs, so a restart changes none.
+    one holder of a server. Gateways are hashed by their VMs, so a restart changes none.
     """
 
     policy: str = "few"
@@ -125,7 +123,7 @@
             scores[vm] = rendezvous_score(server.instance, vm, 1.0)
         return scores[vm] * weights[vm]
 
-    return {vm: weights[vm] for vm in nlargest(MAX_SHARERS, weights, key=score)}
+    return {vm: weights[vm] for vm in nlargest(MAX_HOLDERS, weights, key=score)}
 
 
 @DIVISION_POLICIES.register("even")
--- a/tests/control/test_rate_shares.py
+++ b/tests/control/test_rate_shares.py
@@ -8,7 +8,7 @@
 import pytest
 
 from snipecart.control.discovery.gateways import RegisteredGateway
-from snipecart.control.discovery.rate_shares import MAX_SHARERS
+from snipecart.control.discovery.rate_shares import MAX_HOLDERS
 from snipecart.control.discovery.rate_shares import RateShares
 from snipecart.core.states import MemberState
 from snipecart.messages.discovery import Gateway
@@ -47,10 +47,10 @@
     shares = divide(servers, make_gateways(count))
     assert sums(shares) == pytest.approx({item.instance: 1.0 for item in servers})
     holders = Counter(item.instance for all_ in shares.by_vm.values() for item in all_)
-    assert set(holders.values()) == {min(count, MAX_SHARERS)}
+    assert set(holders.values()) == {min(count, MAX_HOLDERS)}
 
 
-def test_a_gateway_that_fails_changes_one_sharer_of_its_servers_alone():
+def test_a_gateway_that_fails_changes_one_holder_of_its_servers_alone():
     servers = [make_instance(number) for number in range(60)]
     gateways = make_gateways(30)
     before = divide(servers, gateways).by_vm
