Log where the time of late requests went, and when the HTTP server's thread is blocked

Cause: of a request past its timeout, logs told neither how long it waited for a thread, for its body or for the balancer, nor that the thread which looks for heads stood still. Change: event 3405 after requests that end 0.25 s or more after their deadline, with the time of each step; event 1013 for a connection that blocked the server's own thread for 0.1 s. No decision is changed. Test: a turn over the bound is logged.

--- a/src/snipecart/core/events.py
+++ b/src/snipecart/core/events.py
@@ -145,11 +145,15 @@
 REQUEST_UNREAD = register_event(
     3404, logbook.WARNING, "request rejected, its body was not read completely"
 )
+REQUEST_LATE = register_event(3405, logbook.WARNING, "request ended after its deadline")
 LOG_LINES_DROPPED = register_event(1007, logbook.WARNING, "log lines dropped")
 SETTINGS_RELOADED = register_event(1008, logbook.NOTICE, "settings reloaded")
 SERVER_ERROR = register_event(1009, logbook.ERROR, "HTTP server reported an error")
 SETTINGS_REFUSED = register_event(1010, logbook.ERROR, "new settings rejected")
 SETTING_CHANGED = register_event(1012, logbook.NOTICE, "setting changed")
+HTTP_THREAD_BLOCKED = register_event(
+    1013, logbook.WARNING, "HTTP server's own thread was blocked"
+)
 HEAD_TIMED_OUT = register_event(
     1011, logbook.WARNING, "head of a request did not arrive in time"
 )
--- a/src/snipecart/gateway/request.py
+++ b/src/snipecart/gateway/request.py
@@ -94,11 +94,16 @@
     client_timeout_ms: int
     """Timeout from the client in milliseconds; 0 uses the timeout of the route."""
     received_at: Instant
+    """When the head was complete."""
     cancellation: Cancellation = field(default_factory=Cancellation, compare=False)
     answer_memory: MemoryReservation = field(
         default_factory=unlimited_reservation, compare=False
     )
     """Memory reserved for the answer until it is written to the client."""
+    taken_at: Instant = Instant(0.0)
+    """When a thread took the request."""
+    read_at: Instant = Instant(0.0)
+    """When the body was complete."""
 
 
 @dataclass(frozen=True)
--- a/src/snipecart/gateway/server.py
+++ b/src/snipecart/gateway/server.py
@@ -15,6 +15,7 @@
 
 from ..core.events import CLIENT_DISCONNECTED
 from ..core.events import REQUEST_ENDED
+from ..core.events import REQUEST_LATE
 from ..core.events import REQUEST_MALFORMED
 from ..core.events import REQUEST_UNREAD
 from ..core.events import emit
@@ -64,6 +65,7 @@
     from ..text.routing import ClientLimits
     from .balancing.task import BalancerTask
     from .request import HeaderNames
+    from .request import RoutedRequest
     from .watch import WatchTask
 
 MAX_TIMEOUT_DIGITS = 9
@@ -77,6 +79,9 @@
 MIN_READ_RATE = 10_000
 """Bytes per second that a client must read of a long answer."""
 
+LATE_SECONDS = 0.25
+"""Time past its deadline from which a request that ends is logged as late."""
+
 LEAVING_RETRY_AFTER_SECONDS = 0.1
 """``Retry-After`` of requests that arrive after the gateway stopped accepting."""
 
@@ -141,8 +146,8 @@
     ) -> Result[HttpRequest, Failure]:
         """Return the request with its complete body, or why it can't be read."""
         raw = self.req
-        received_at = raw.conn.head_at
-        THREAD_WAIT_SECONDS.observe(monotonic() - received_at)
+        received_at, taken_at = raw.conn.head_at, monotonic()
+        THREAD_WAIT_SECONDS.observe(taken_at - received_at)
         try:
             target = raw.uri.decode("ascii")
             headers = tuple(
@@ -186,6 +191,8 @@
                 received_at,
                 Cancellation(),
                 answer_memory,
+                taken_at,
+                monotonic(),
             )
         )
 
@@ -232,6 +239,7 @@
             ms=int(seconds * 1000),
             sends=_describe_attempts(answered.attempts),
         )
+        _log_if_late(answered.routed)
 
     def _send_failure(
         self, ctx: RequestContext, req: HttpRequest, failed: FailedRequest
@@ -258,6 +266,8 @@
             left_ms=int(routed.remaining() * 1000) if routed is not None else 0,
             sends=_describe_attempts(failed.attempts),
         )
+        if routed is not None:
+            _log_if_late(routed)
         if isinstance(failure, ClientGone):
             self.req.close_connection = True
             self.req.sent_headers = True
@@ -349,6 +359,24 @@
     ]
 
 
+def _log_if_late(routed: RoutedRequest) -> None:
+    """Log where the time of a request went that ended late."""
+    late = -routed.remaining()
+    if late < LATE_SECONDS:
+        return
+    req = routed.req
+    emit(
+        REQUEST_LATE,
+        request=req.request_id,
+        route=routed.route.name,
+        timeout_ms=routed.route.timeout_ms,
+        late_ms=int(late * 1000),
+        thread_wait_ms=int((req.taken_at - req.received_at) * 1000),
+        body_ms=int((req.read_at - req.taken_at) * 1000),
+        rest_ms=int((monotonic() - req.read_at) * 1000),
+    )
+
+
 def _apply_limits(server: HTTPServer, ctx: RequestContext) -> None:
     """Apply the client limits of the current routing table to the HTTP server."""
     index = ctx.balancer.view.index
--- a/src/snipecart/program/server.py
+++ b/src/snipecart/program/server.py
@@ -19,6 +19,7 @@
 from cheroot.server import HTTPServer
 
 from ..core.events import HEAD_TIMED_OUT
+from ..core.events import HTTP_THREAD_BLOCKED
 from ..core.events import emit
 from ..core.ids import Instant
 from ..core.sockets import has_peer_closed
@@ -36,6 +37,9 @@
 STOP_ACCEPTING_SECONDS = 2.0
 """Time to wait until the server's own thread has closed the listening socket."""
 
+BLOCKED_SECONDS = 0.1
+"""Time for one connection from which the server's own thread counts as blocked."""
+
 WAKE_DELAY_SECONDS = 0.02
 """Time after which a stopping server's own thread is woken, to see that it stops."""
 
@@ -169,6 +173,14 @@
         conn.discarded = DiscardedInput(end)
 
     def process_conn(self, conn: ClientConnection | Wakeup) -> None:
+        """Process a connection, and log it if that blocked all others."""
+        started_at = monotonic()
+        self._process_conn(conn)
+        seconds = monotonic() - started_at
+        if seconds > BLOCKED_SECONDS:
+            emit(HTTP_THREAD_BLOCKED, seconds=round(seconds, 2))
+
+    def _process_conn(self, conn: ClientConnection | Wakeup) -> None:
         """Queue a connection with a complete head for a thread, or wait for the rest.
 
         Close it once the client has closed it or was too slow. A thread also gets what
--- a/tests/program/test_server.py
+++ b/tests/program/test_server.py
@@ -7,8 +7,10 @@
 import time
 from contextlib import contextmanager
 
+import logbook
 import pytest
 
+from snipecart.core.events import HTTP_THREAD_BLOCKED
 from snipecart.program import server as server_module
 from snipecart.program.http import make_wsgi_server
 from snipecart.program.http import running_server
@@ -186,3 +188,11 @@
         time.sleep(0.2)
         started_at = time.monotonic()
     assert time.monotonic() - started_at < 0.3
+
+
+def test_a_blocked_thread_of_the_server_is_logged(monkeypatch):
+    monkeypatch.setattr(server_module, "BLOCKED_SECONDS", 0.0)
+    with logbook.TestHandler().applicationbound() as log, server(), connect(HEAD):
+        time.sleep(0.1)
+        lines = [line.extra["event"] for line in log.records]
+    assert HTTP_THREAD_BLOCKED.number in lines
