Don't let a connection that sends nothing block the HTTP server's own thread

Callers saw: requests at a gateway, or calls at a control process, without an answer until their own deadlines, and no new connections for up to 15 s, while it said it was ready. Cause: the thread that accepts connections and looks for heads peeked at a new connection with MSG_DONTWAIT, but Python waits for input before a recv on a socket with a timeout, so one connection that sent nothing stopped all others until the idle timeout. By hand, a second client waited 2.90 s for its answer beside a silent connection with an idle timeout of 3 s. Ruled out: threads that wait for silent servers (gaps would end within a route's timeout of 2 s), and lack of processor time (0.25 of a core at most). Conclusion: a wait in a thread that serves all connections; the class is looked for in the other waits of a request next.

--- a/src/snipecart/program/server.py
+++ b/src/snipecart/program/server.py
@@ -23,6 +23,8 @@
 from ..core.events import emit
 from ..core.ids import Instant
 from ..core.sockets import has_peer_closed
+from ..core.sockets import receive_available
+from ..core.sockets import send_available
 from ..core.task import monotonic
 
 HEAD_TIMEOUT_SECONDS = 10.0
@@ -199,7 +201,7 @@
             self._queue_for_thread(conn)
             return
         before = self._partial.get(conn) or PartialHead(monotonic())
-        received = self._peek(conn)
+        received = receive_available(conn.socket, MAX_HEAD_BYTES, socket.MSG_PEEK)
         if _is_complete(received, self.max_request_header_size):
             _set_low_water_mark(conn, 1)
             self._queue_for_thread(conn)
@@ -221,12 +223,7 @@
         """Discard what has arrived; close a connection that has had its time."""
         while conn.rfile.has_data():
             conn.rfile.read1(MAX_HEAD_BYTES)
-        try:
-            piece = conn.socket.recv(MAX_HEAD_BYTES, socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            piece = None
-        except OSError:
-            piece = b""
+        piece = receive_available(conn.socket, MAX_HEAD_BYTES)
         if piece:
             discarded.bytes_left -= len(piece)
         spent = discarded.bytes_left < 0 or monotonic() > discarded.until
@@ -235,20 +232,6 @@
         else:
             self.put_conn(conn)
 
-    def _peek(self, conn: ClientConnection) -> bytes | None:
-        """Return the received bytes without consuming them; None if there are none yet.
-
-        The result is empty if the client has closed the connection.
-        """
-        try:
-            return conn.socket.recv(
-                MAX_HEAD_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT
-            )
-        except BlockingIOError:
-            return None
-        except OSError:
-            return b""
-
     def _wait_for_more(
         self, conn: ClientConnection, head: PartialHead, received: bytes
     ) -> None:
@@ -295,7 +278,6 @@
 
     Read what has arrived: a close with unread bytes would reset the connection.
     """
-    with suppress(OSError):
-        conn.socket.send(TIMEOUT_RESPONSE, socket.MSG_DONTWAIT)
-        conn.socket.recv(MAX_HEAD_BYTES, socket.MSG_DONTWAIT)
+    send_available(conn.socket, TIMEOUT_RESPONSE)
+    receive_available(conn.socket, MAX_HEAD_BYTES)
     conn.close()
--- a/tests/program/test_server.py
+++ b/tests/program/test_server.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from contextlib import ExitStack
 from contextlib import contextmanager
 
 import logbook
@@ -138,6 +139,25 @@
         assert read_answer(sock).endswith(b"/a")
 
 
+def test_connections_that_send_nothing_delay_no_other_request():
+    with server(timeout=3.0), ExitStack() as stack:
+        for _ in range(5):
+            stack.enter_context(connect())
+        started_at = time.monotonic()
+        with connect(HEAD + b"\r\n") as sock:
+            assert read_answer(sock).endswith(b"/a")
+        assert time.monotonic() - started_at < 0.5
+
+
+def test_connections_that_send_nothing_stay_open_for_their_first_request():
+    with server(timeout=1.0), ExitStack() as stack:
+        silent = [stack.enter_context(connect()) for _ in range(5)]
+        time.sleep(0.3)
+        for sock in silent:
+            sock.sendall(HEAD + b"\r\n")
+            assert read_answer(sock).endswith(b"/a")
+
+
 def test_a_head_that_is_too_long_is_rejected():
     with server(max_request_header_size=1000), connect(HEAD + b"A: ") as sock:
         sock.sendall(b"b" * 2000)
