Wait for the selection of a server no longer than the request's deadline

Callers saw: requests held up to 1 s past their route's timeout while the balancer is busy, for the first send and for each retry. Cause: a worker waited up to 1 s for the balancer's answer, whatever was left of the request's time. Change: the wait ends at the deadline; a server that is selected later is released as before, and nothing was sent, so the refusal stays true. Before: 3 of 3 requests with a timeout of 0.4 s end after 1.00 s while the balancer stands still for 1.5 s. After: none ends later than 0.9 s, the bound of the rule (timeout + 0.5 s).

--- a/src/snipecart/gateway/balancing/task.py
+++ b/src/snipecart/gateway/balancing/task.py
@@ -45,7 +45,7 @@
     from .routes import RouteIndex
 
 SELECT_TIMEOUT = 1.0
-"""Seconds that a worker waits for the task to select a server."""
+"""Longest time in seconds that a worker waits for the task to select a server."""
 
 UNUSED_SEND = SendResult(
     SendOutcome.CANCELLED, 0.0, failure=Busy("server was selected too late")
@@ -224,8 +224,9 @@
     ) -> Result[Destination, Failure]:
         if not self.post(message):
             return Error(Busy("load balancer mailbox full"))
+        timeout = max(0.0, min(SELECT_TIMEOUT, message.routed.remaining()))
         try:
-            return message.fut.result(SELECT_TIMEOUT)
+            return message.fut.result(timeout)
         except TimeoutError:
             message.fut.add_done_callback(self._release_late(message.routed))
             return Error(Busy("no server selected in time"))
