Reject requests that no thread has taken within half a second

Callers saw: while all threads of a gateway wait for silent servers, a request on a route with a short timeout is held until a thread is free, though its own timeout has passed. Cause: connections wait in the thread pool's queue, where nothing knows their deadlines. Change: a task answers what no thread has taken for 0.5 s with 503 and Retry-After, which is true, as nothing was read. Clients may go to another gateway meanwhile. Rejected: refusing at once while no thread is free; two existing tests rightly ask that short waits are served.

--- a/src/snipecart/core/failures.py
+++ b/src/snipecart/core/failures.py
@@ -68,6 +68,12 @@
     category = Category.UNAVAILABLE
 
 
+class ThreadsBusy(Failure):
+    """Reject a request that no thread of this process has taken in time."""
+
+    category = Category.UNAVAILABLE
+
+
 class UnknownService(Failure):
     """Reject a call to a service that the configuration does not list."""
 
--- a/src/snipecart/gateway/server.py
+++ b/src/snipecart/gateway/server.py
@@ -4,6 +4,7 @@
 
 from contextlib import contextmanager
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -24,6 +25,7 @@
 from ..core.failures import ClientGone
 from ..core.failures import Failure
 from ..core.failures import Stopping
+from ..core.failures import ThreadsBusy
 from ..core.ids import Instant
 from ..core.ids import ObjectKey
 from ..core.ids import RequestId
@@ -33,12 +35,14 @@
 from ..core.sockets import has_peer_closed
 from ..core.states import DrainState
 from ..core.task import monotonic
+from ..core.task import running
 from ..program.answers import HTTP_STATUS
 from ..program.answers import JSON_CONTENT_TYPE
 from ..program.answers import describe_failure
 from ..program.answers import to_json
 from ..program.http import make_http_server
 from ..program.http import running_server
+from ..program.overdue import OverdueTask
 from ..upstream.headers import end_to_end
 from .body import BodyFraming
 from .body import BodySlots
@@ -404,6 +408,22 @@
     server.timeout = max(1.0, limits.idle_timeout_ms / 1000)
 
 
+def _refuse_overdue(ctx: RequestContext) -> bytes:
+    """Return the whole answer to a request that no thread has taken in time."""
+    failure = ThreadsBusy()
+    REFUSALS.labels(failure.reason).inc()
+    emit(REQUEST_UNREAD, request="", reason=failure.reason, detail=failure.detail)
+    body = to_json(describe_failure(failure))
+    head = (
+        f"HTTP/1.1 {HTTP_STATUS[failure.category]} Refused\r\n"
+        f"Content-Type: {JSON_CONTENT_TYPE}\r\n"
+        f"Content-Length: {len(body)}\r\n"
+        f"Retry-After: {choose_retry_after(ctx.rng, 0):.2f}\r\n"
+        "Connection: close\r\n\r\n"
+    )
+    return head.encode() + body
+
+
 @contextmanager
 def socket_timeout(sock: socket.socket, seconds: float) -> Iterator[None]:
     """Change the timeout of a socket until the block ends.
@@ -424,5 +444,6 @@
     server = make_http_server(listener, RequestGateway)
     server.ctx = ctx
     server.limits = None
-    with running_server(server):
+    server.overdue = OverdueTask(server, partial(_refuse_overdue, ctx))
+    with running(server.overdue), running_server(server):
         yield server
--- a/src/snipecart/program/server.py
+++ b/src/snipecart/program/server.py
@@ -11,6 +11,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from types import SimpleNamespace
+from typing import TYPE_CHECKING
 from typing import Any
 from weakref import WeakKeyDictionary
 
@@ -26,6 +27,10 @@
 from ..core.sockets import receive_available
 from ..core.sockets import send_available
 from ..core.task import monotonic
+from .overdue import ConnectionWaits
+
+if TYPE_CHECKING:
+    from .overdue import OverdueTask
 
 HEAD_TIMEOUT_SECONDS = 10.0
 """Time from the first byte of a head to its last."""
@@ -118,6 +123,8 @@
 
     ConnectionClass = ClientConnection
     head_timeout = HEAD_TIMEOUT_SECONDS
+    overdue: OverdueTask | None = None
+    """Rejects connections that wait too long for a thread; None lets them wait."""
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
@@ -218,6 +225,14 @@
         self._partial.pop(conn, None)
         conn.head_at = monotonic()
         super().process_conn(conn)
+        if self.overdue is not None and self.requests.is_full:
+            self.overdue.post(ConnectionWaits())
+
+    def reject(self, conn: ClientConnection, answer: bytes) -> None:
+        """Answer a connection that has no thread, and close it once it was read."""
+        send_available(conn.socket, answer)
+        self.discard_input(conn)
+        self.put_conn(conn)
 
     def _discard(self, conn: ClientConnection, discarded: DiscardedInput) -> None:
         """Discard what has arrived; close a connection that has had its time."""
--- a/src/snipecart/program/threads.py
+++ b/src/snipecart/program/threads.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from cheroot.server import HTTPServer
 
+    from ..core.ids import Instant
+
 MIN_THREADS = 2
 """Threads that wait for connections while there is no load."""
 
@@ -38,6 +40,35 @@
         """Return how many connections are queued or handled by a thread."""
         return self._in_progress
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether one more connection would wait for a thread."""
+        return self._in_progress >= self.max
+
+    @property
+    def waiting_since(self) -> Instant | None:
+        """Return since when a connection waits for a thread; None if none does."""
+        with self._queue.mutex:
+            conn = self._peek()
+        return conn.head_at if conn is not None else None
+
+    def take_overdue(self, before: Instant) -> Any:
+        """Remove and return a connection that waits since ``before``, else None."""
+        with self._queue.mutex:
+            conn = self._peek()
+            if conn is None or conn.head_at > before:
+                return None
+            self._queue.queue.popleft()
+        with self._lock:
+            self._in_progress -= 1
+        return conn
+
+    def _peek(self) -> Any:
+        """Return the connection that waits longest; None if none does."""
+        waiting = self._queue.queue
+        is_connection = waiting and waiting[0] is not threadpool._SHUTDOWNREQUEST
+        return waiting[0] if is_connection else None
+
     @property
     def size(self) -> int:
         """Return how many threads there are."""
--- a/tests/gateway/test_route_timeout.py
+++ b/tests/gateway/test_route_timeout.py
@@ -46,7 +46,8 @@
 BALANCER_STALL_SECONDS = 1.5
 
 ROUTING = make_routing(
-    make_route(timeout_ms=int(TIMEOUT_SECONDS * 1000), target_latency_ms=200)
+    make_route(timeout_ms=int(TIMEOUT_SECONDS * 1000), target_latency_ms=200),
+    make_route("patient", timeout_ms=2000),
 )
 
 
@@ -90,11 +91,11 @@
         backends.close()
 
 
-def head(length=0):
+def head(length=0, route=b"look"):
     return (
-        b"POST /look/x HTTP/1.1\r\nHost: shop.example\r\n"
+        b"POST /%s/x HTTP/1.1\r\nHost: shop.example\r\n"
         b"Snipecart-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n"
-        % (CLIENT_TIMEOUT_MS, length)
+        % (route, CLIENT_TIMEOUT_MS, length)
     )
 
 
@@ -130,6 +131,17 @@
     assert_none_is_held(results)
 
 
+def test_no_request_is_held_while_all_threads_wait_on_another_route():
+    with gateway(), ExitStack() as stack:
+        for _ in range(THREADS):
+            sock = stack.enter_context(socket.create_connection((HOST, PORT), 6.0))
+            sock.sendall(head(route=b"patient"))
+        time.sleep(0.2)
+        results = exchange_all(THREADS, head())
+    assert_none_is_held(results)
+    assert {status for status, _ in results} == {b"503"}
+
+
 def test_no_request_is_held_while_the_balancer_is_busy():
     with gateway() as balancer:
         threading.Thread(
