Stop the program once one of its HTTP servers has ended by itself

Callers would see: a gateway that look-ups still name and that says it is ready, but refuses every connection, until an operator restarts it. Cause: cheroot ends its server when a thread of the pool fails in clean-up; the thread of the server ended with it, and nothing watched that thread. Change: a server that ends without being stopped counts as a failed task (1005), as other tasks do, so the process ends and is started again.

--- a/src/snipecart/program/http.py
+++ b/src/snipecart/program/http.py
@@ -11,7 +11,9 @@
 from cheroot.wsgi import Server as WsgiServer
 
 from ..core.events import SERVER_ERROR
+from ..core.events import TASK_FAILED
 from ..core.events import emit
+from ..core.task import ANY_TASK_FAILED
 from .server import HeadFirstServer
 from .threads import ElasticThreadPool
 
@@ -71,6 +73,18 @@
     emit(SERVER_ERROR, detail=msg)
 
 
+def _serve(server: HeadFirstServer) -> None:
+    """Serve until the server is stopped; let the program stop if it ends by itself."""
+    error = "ended"
+    try:
+        server.serve()
+    except BaseException as exc:
+        error = repr(exc)
+    if not server.stop_requested:
+        emit(TASK_FAILED, task="http", error=error)
+        ANY_TASK_FAILED.set()
+
+
 @contextmanager
 def running_server(server: HeadFirstServer) -> Iterator[HeadFirstServer]:
     """Run a server in its own thread until the block ends.
@@ -78,11 +92,12 @@
     What it has accepted by then is still answered within STOP_TIMEOUT.
     """
     server.prepare()
-    thread = threading.Thread(target=server.serve, name="http", daemon=True)
+    thread = threading.Thread(target=_serve, args=(server,), name="http", daemon=True)
     thread.start()
     try:
         yield server
     finally:
+        server.stop_requested = True
         server.stop_accepting()
         server.stop()
         thread.join(STOP_TIMEOUT)
--- a/src/snipecart/program/server.py
+++ b/src/snipecart/program/server.py
@@ -123,6 +123,8 @@
 
     ConnectionClass = ClientConnection
     head_timeout = HEAD_TIMEOUT_SECONDS
+    stop_requested = False
+    """Whether the program stops the server, which then may end."""
     overdue: OverdueTask | None = None
     """Rejects connections that wait too long for a thread; None lets them wait."""
 
--- a/tests/program/test_server.py
+++ b/tests/program/test_server.py
@@ -12,6 +12,7 @@
 import pytest
 
 from snipecart.core.events import HTTP_THREAD_BLOCKED
+from snipecart.core.task import ANY_TASK_FAILED
 from snipecart.program import server as server_module
 from snipecart.program.http import make_wsgi_server
 from snipecart.program.http import running_server
@@ -216,3 +217,23 @@
         time.sleep(0.1)
         lines = [line.extra["event"] for line in log.records]
     assert HTTP_THREAD_BLOCKED.number in lines
+
+
+@pytest.fixture
+def no_task_failed():
+    """Forget failed tasks before and after the test."""
+    ANY_TASK_FAILED.clear()
+    yield
+    ANY_TASK_FAILED.clear()
+
+
+def test_a_program_stops_once_its_server_has_ended_by_itself(no_task_failed):
+    with server() as http_server:
+        http_server.interrupt = RuntimeError("a thread of the pool failed")
+        assert ANY_TASK_FAILED.wait(3.0)
+
+
+def test_a_program_that_stops_its_server_counts_no_failed_task(no_task_failed):
+    with server():
+        pass
+    assert not ANY_TASK_FAILED.wait(0.3)
