Soak the programs with random faults, and check what callers and servers see

Change: python -m tests.soak runs three control processes and some gateways as processes, servers behind loopback proxies, clients on kept connections and an operator, injects twelve kinds of faults by seed, several at once, and checks twelve promises on the history. On the way: a folder that is kept for a second run holds the first one's data, and so its higher versions; that was the soak's fault, not the programs'. Left: no faults of disks and clocks, no evacuations, no caps between regions.

--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,197 @@
+"""Inject faults from outside the programs: signals, links, servers and clients."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import time
+from collections.abc import Callable
+from contextlib import ExitStack
+from contextlib import contextmanager
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+from snipecart.core.registry import Registry
+
+from .checks import CONNECTIVITY_SECONDS
+from .checks import CORE
+from .history import Disturbance
+from .history import ProcessName
+from .history import Seconds
+from .proxy import LinkMode
+from .servers import Conduct
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from random import Random
+
+    from .world import World
+
+STOP_SECONDS = 8.0
+"""Longest time of a planned stop; the grace of the settings is half of it."""
+
+SILENT_CONNECTIONS = 40
+PARTIAL_HEAD = b"GET /look/slow HTTP/1.1\r\nHost: shop.exam"
+
+Fault = Callable[["World", "Random"], None]
+
+FAULTS: Registry[str, Fault] = Registry("faults of a soak")
+"""Faults by name; each blocks until it is over."""
+
+
+@contextmanager
+def disturbing(
+    world: World, process: str, fault: str, *, cuts: bool = True
+) -> Iterator[None]:
+    """Record that a fault may affect a process until a while after the block.
+
+    The record is there before the fault begins, and is replaced by an exact one.
+    """
+    begin = Seconds(time.monotonic())
+    try:
+        yield
+    finally:
+        end = Seconds(time.monotonic() + CONNECTIVITY_SECONDS)
+        name = ProcessName(process)
+        world.recorder.post(Disturbance(name, fault, begin, end, cuts))
+
+
+def _restart(world: World, name: str, pause: float) -> None:
+    time.sleep(pause)
+    world.start(name)
+    world.wait_until_up(name)
+
+
+@FAULTS.register("kill a gateway")
+def kill_gateway(world: World, rng: Random) -> None:
+    """Kill a gateway, at times again as soon as it starts."""
+    with world.borrow_gateway(rng) as name:
+        if not name:
+            return
+        with disturbing(world, name, "kill"):
+            world.end(name, signal.SIGKILL)
+            if rng.random() < 0.3:
+                world.start(name)
+                time.sleep(rng.random())
+                world.end(name, signal.SIGKILL)
+            _restart(world, name, rng.random())
+
+
+@FAULTS.register("stop a gateway")
+def stop_gateway(world: World, rng: Random) -> None:
+    """Stop a gateway as planned, and start it again."""
+    with world.borrow_gateway(rng) as name:
+        if not name:
+            return
+        with disturbing(world, name, "planned stop", cuts=False):
+            world.end(name, signal.SIGTERM, STOP_SECONDS)
+            _restart(world, name, rng.random())
+
+
+@FAULTS.register("freeze a gateway")
+def freeze_gateway(world: World, rng: Random) -> None:
+    """Freeze a gateway for a while."""
+    with world.borrow_gateway(rng) as name:
+        if name:
+            with disturbing(world, name, "freeze"):
+                world.freeze(name, 0.3 + 3 * rng.random())
+
+
+@FAULTS.register("reload a gateway")
+def reload_gateway(world: World, rng: Random) -> None:
+    """Send SIGHUP to a gateway."""
+    with world.borrow_gateway(rng) as name:
+        if name:
+            world.signal(name, signal.SIGHUP)
+            time.sleep(rng.random())
+
+
+@FAULTS.register("kill a control process")
+def kill_control(world: World, rng: Random) -> None:
+    """Kill one control process, and start it again."""
+    with world.borrow_control(rng) as name:
+        if not name:
+            return
+        with disturbing(world, CORE, f"kill {name}"):
+            world.end(name, signal.SIGKILL)
+            _restart(world, name, 3 * rng.random())
+
+
+@FAULTS.register("stop a control process")
+def stop_control(world: World, rng: Random) -> None:
+    """Stop one control process as planned, and start it again."""
+    with world.borrow_control(rng) as name:
+        if not name:
+            return
+        with disturbing(world, CORE, f"stop {name}"):
+            world.end(name, signal.SIGTERM, STOP_SECONDS)
+            _restart(world, name, rng.random())
+
+
+@FAULTS.register("freeze a control process")
+def freeze_control(world: World, rng: Random) -> None:
+    """Freeze one control process for a while."""
+    with world.borrow_control(rng) as name:
+        if name:
+            with disturbing(world, CORE, f"freeze {name}"):
+                world.freeze(name, 0.5 + 3 * rng.random())
+
+
+@FAULTS.register("kill all control processes")
+def kill_all_control(world: World, rng: Random) -> None:
+    """Kill all control processes at once, and start them again."""
+    with world.borrow_all_control() as names:
+        if not names:
+            return
+        with disturbing(world, CORE, "kill all"):
+            for name in names:
+                world.end(name, signal.SIGKILL)
+            time.sleep(rng.random())
+            for name in names:
+                world.start(name)
+            for name in names:
+                world.wait_until_up(name)
+
+
+@FAULTS.register("misbehave")
+def misbehave(world: World, rng: Random) -> None:
+    """Let some servers misbehave for a while."""
+    conduct = rng.choice([item for item in Conduct if item is not Conduct.SOUND])
+    servers = rng.sample(world.servers, rng.randrange(1, len(world.servers)))
+    for server in servers:
+        server.conduct = conduct
+    time.sleep(0.5 + 3 * rng.random())
+    for server in servers:
+        server.conduct = Conduct.SOUND
+
+
+@FAULTS.register("disturb links")
+def disturb_links(world: World, rng: Random) -> None:
+    """Delay, reset, cut one way or silence the links to some servers."""
+    mode = rng.choice([item for item in LinkMode if item is not LinkMode.PASS])
+    servers = rng.sample(world.servers, rng.randrange(1, len(world.servers)))
+    for server in servers:
+        server.proxy.mode = mode
+    time.sleep(0.5 + 2 * rng.random())
+    for server in servers:
+        server.proxy.mode = LinkMode.PASS
+
+
+@FAULTS.register("replace a server")
+def replace_server(world: World, rng: Random) -> None:
+    """Let a server announce that it leaves, and add another one before."""
+    world.replace_server(rng)
+
+
+@FAULTS.register("silent clients")
+def connect_silent_clients(world: World, rng: Random) -> None:
+    """Open connections to a gateway that send nothing, or part of a head."""
+    front = rng.choice(world.fronts)
+    with ExitStack() as stack:
+        for _ in range(SILENT_CONNECTIONS):
+            with suppress(OSError):
+                sock = socket.create_connection((front.host, front.port), 1.0)
+                stack.enter_context(sock)
+                if rng.random() < 0.5:
+                    sock.sendall(PARTIAL_HEAD)
+        time.sleep(2.0 + 2 * rng.random())
