--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,6 +13,7 @@
 from .checks import CHECKS
 from .faults import FAULTS
 from .history import Ending
+from .world import DEFAULT_NET
 from .world import running_world
 
 if TYPE_CHECKING:
@@ -59,10 +60,16 @@
         return lines
 
 
-def soak(seed: int, seconds: float, folder: Path, gateways: int = 3) -> Report:
+def soak(
+    seed: int,
+    seconds: float,
+    folder: Path,
+    gateways: int = 3,
+    net: str = DEFAULT_NET,
+) -> Report:
     """Run one soak and check its history."""
     rng, report = Random(seed), Report(seed)
-    with running_world(folder, rng, gateways) as world:
+    with running_world(folder, rng, gateways, net) as world:
         _inject_faults(world, rng, seconds, report)
     history: History = world.recorder.history
     report.violations = {name: list(CHECKS.get(name)(history)) for name in CHECKS}
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -38,7 +38,7 @@
 
     from .history import History
 
-NET = "127.71"
+DEFAULT_NET = "127.71"
 SERVERS_OF_SERVICE = 3
 CLIENTS = 16
 HEARTBEAT_SECONDS = 0.5
@@ -74,7 +74,7 @@
     def add_server(self, service: str) -> SoakServer:
         """Start a server and announce it."""
         number = next(self._numbers)
-        host, zone = f"{NET}.3.1", ("north-a", "south-a")[number % 2]
+        host, zone = f"{self.fleet.net}.3.1", ("north-a", "south-a")[number % 2]
         server = SoakServer(host, number, service, zone, self.recorder)
         self.announce(server)
         self.servers.append(server)
@@ -222,13 +222,13 @@
 
 @contextmanager
 def running_world(
-    folder: Path, rng: Random, gateways: int = 3, clients: int = CLIENTS
+    folder: Path, rng: Random, gateways: int, net: str, clients: int = CLIENTS
 ) -> Iterator[World]:
     """Run a world until the block ends, with its clients and operator."""
     recorder = RecorderTask()
     with (
         running(recorder),
-        platform_fleet(folder, NET, entries=gateways) as fleet,
+        platform_fleet(folder, net, entries=gateways) as fleet,
     ):
         world = World(fleet, rng, recorder)
         operator = Operator(fleet, rng, recorder)
