Let a client that leaves interrupt its own request only

Callers would see: an answer of 502 to a request that may not be repeated, at the moment at which another client of the gateway leaves. Cause: the task that watches clients called the interrupt of a request after it had dropped the lock, and a request's connection was kept for others before its interrupt was removed; the shutdown could hit the next request on that connection. Change: the interrupt is removed before the connection is kept, and runs under the lock. Before: both new tests fail (the interrupt is still set when the connection is kept, and runs on after its removal).

--- a/src/snipecart/gateway/backends.py
+++ b/src/snipecart/gateway/backends.py
@@ -118,6 +118,7 @@
                 BackendRequest(req.method, req.target, headers, req.body),
                 expected,
                 limits,
+                lambda: req.cancellation.set_interrupt(None),
             )
         except EXCHANGE_ERRORS as exc:
             outcome, failure = _classify_error(routed, exc)
--- a/src/snipecart/gateway/request.py
+++ b/src/snipecart/gateway/request.py
@@ -62,15 +62,15 @@
         """Cancel the request and interrupt the wait in progress, if any."""
         with self._lock:
             self.cancelled = True
-            interrupt = self._interrupt
-        if interrupt is not None:
-            with suppress(OSError):
-                interrupt()
+            if self._interrupt is not None:
+                with suppress(OSError):
+                    self._interrupt()
 
     def set_interrupt(self, interrupt: Callable[[], None] | None) -> bool:
         """Set the function that interrupts the next wait; None removes it.
 
-        Return whether the request may go on, which is False once it is cancelled.
+        A removed function isn't running any more. Return whether the request may go on,
+        which is False once it is cancelled.
         """
         with self._lock:
             self._interrupt = interrupt
--- a/src/snipecart/upstream/pool.py
+++ b/src/snipecart/upstream/pool.py
@@ -6,6 +6,7 @@
 import threading
 from collections import deque
 from typing import TYPE_CHECKING
+from typing import Any
 
 from ..core.ids import Instant
 from ..core.task import monotonic
@@ -13,6 +14,8 @@
 from .requests import write_request
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..core.ids import EndpointId
     from .answers import ExpectedAnswer
     from .answers import HttpAnswer
@@ -59,10 +62,12 @@
         req: BackendRequest,
         expected: ExpectedAnswer,
         limits: ReadLimits,
+        release: Callable[[], Any] | None = None,
     ) -> HttpAnswer:
         """Send a request, return its complete answer, and keep or close the connection.
 
-        Raise one of EXCHANGE_ERRORS if there is no complete own answer.
+        ``release`` is called before the connection may serve another request. Raise one
+        of EXCHANGE_ERRORS if there is no complete own answer.
         """
         idle_seconds = 0.0
         try:
@@ -73,6 +78,8 @@
                 conn.close()
         if answer.status >= http.client.BAD_REQUEST:
             conn.failed.add(expected.request_id)
+        if release is not None:
+            release()
         if idle_seconds > 0:
             self._put(endpoint, conn, idle_seconds)
         return answer
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -17,6 +17,7 @@
 from snipecart.gateway.request import HeaderNames
 from snipecart.gateway.request import HttpRequest
 from snipecart.gateway.request import RoutedRequest
+from snipecart.upstream.pool import ConnectionPool
 from tests.upstream.scripted import CLOSE
 from tests.upstream.scripted import RESET
 from tests.upstream.scripted import scripted_server
@@ -227,3 +228,33 @@
     assert received == body
     assert b"content-length: 5120000" in head.lower()
     assert b"transfer-encoding" not in head.lower()
+
+
+def test_a_client_that_leaves_late_cuts_no_other_request(monkeypatch):
+    interrupts = []
+    put = ConnectionPool._put
+
+    def put_and_look(self, *args):
+        interrupts.append(routed.req.cancellation._interrupt)
+        put(self, *args)
+
+    monkeypatch.setattr(ConnectionPool, "_put", put_and_look)
+    routed = make_routed()
+    with scripted_server([answer()]) as server:
+        assert send(server, routed).end is SendOutcome.ANSWERED
+    assert interrupts == [None]
+
+
+def test_a_removed_interrupt_is_not_running_any_more():
+    cancellation, begun, ended = Cancellation(), threading.Event(), threading.Event()
+
+    def interrupt():
+        begun.set()
+        time.sleep(0.2)
+        ended.set()
+
+    cancellation.set_interrupt(interrupt)
+    threading.Thread(target=cancellation.cancel).start()
+    assert begun.wait(2.0)
+    assert not cancellation.set_interrupt(None)
+    assert ended.is_set()
