--- a/src/snipecart/core/sockets.py
+++ b/src/snipecart/core/sockets.py
@@ -4,7 +4,12 @@
 
 import select
 import socket
+from contextlib import contextmanager
 from contextlib import suppress
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
 
 PEER_CLOSED_EVENTS = (
     select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
@@ -51,3 +56,17 @@
     poll = select.poll()
     poll.register(sock.fileno(), event)
     return bool(poll.poll(0))
+
+
+@contextmanager
+def socket_timeout(sock: socket.socket, seconds: float) -> Iterator[None]:
+    """Change the timeout of a socket until the block ends.
+
+    It limits a whole ``sendall``, but only a single ``recv``.
+    """
+    usual = sock.gettimeout()
+    sock.settimeout(seconds)
+    try:
+        yield
+    finally:
+        sock.settimeout(usual)
--- a/src/snipecart/gateway/server.py
+++ b/src/snipecart/gateway/server.py
@@ -16,7 +16,6 @@
 
 from ..core.events import CLIENT_DISCONNECTED
 from ..core.events import REQUEST_ENDED
-from ..core.events import REQUEST_LATE
 from ..core.events import REQUEST_MALFORMED
 from ..core.events import REQUEST_UNREAD
 from ..core.events import emit
@@ -25,7 +24,6 @@
 from ..core.failures import ClientGone
 from ..core.failures import Failure
 from ..core.failures import Stopping
-from ..core.failures import ThreadsBusy
 from ..core.ids import Instant
 from ..core.ids import ObjectKey
 from ..core.ids import RequestId
@@ -33,6 +31,7 @@
 from ..core.memory import MemoryReservation
 from ..core.memory import reserving
 from ..core.sockets import has_peer_closed
+from ..core.sockets import socket_timeout
 from ..core.states import DrainState
 from ..core.task import monotonic
 from ..core.task import running
@@ -54,14 +53,17 @@
 from .metrics import THREAD_WAIT_SECONDS
 from .pipeline import choose_retry_after
 from .request import AnsweredRequest
-from .request import Attempt
 from .request import Cancellation
 from .request import FailedRequest
 from .request import HttpRequest
 from .request import request_timeout
+from .responses import describe_attempts
+from .responses import failure_body
+from .responses import http_status
+from .responses import log_if_late
+from .responses import refuse_overdue
 
 if TYPE_CHECKING:
-    import socket
     from collections.abc import Iterator
     from random import Random
 
@@ -70,7 +72,6 @@
     from ..text.routing import ClientLimits
     from .balancing.task import BalancerTask
     from .request import HeaderNames
-    from .request import RoutedRequest
     from .watch import WatchTask
 
 MAX_TIMEOUT_DIGITS = 9
@@ -84,9 +85,6 @@
 MIN_READ_RATE = 10_000
 """Bytes per second that a client must read of a long answer."""
 
-LATE_SECONDS = 0.25
-"""Time past its deadline from which a request that ends is logged as late."""
-
 LEAVING_RETRY_AFTER_SECONDS = 0.1
 """``Retry-After`` of requests that arrive after the gateway stopped accepting."""
 
@@ -255,9 +253,9 @@
             object=req.object,
             status=answer.status,
             ms=int(seconds * 1000),
-            sends=_describe_attempts(answered.attempts),
+            sends=describe_attempts(answered.attempts),
         )
-        _log_if_late(answered.routed)
+        log_if_late(answered.routed)
 
     def _send_failure(
         self, ctx: RequestContext, req: HttpRequest, failed: FailedRequest
@@ -282,10 +280,10 @@
             retry_after=round(failed.retry_after, 2),
             ms=int((monotonic() - req.received_at) * 1000),
             left_ms=int(routed.remaining() * 1000) if routed is not None else 0,
-            sends=_describe_attempts(failed.attempts),
+            sends=describe_attempts(failed.attempts),
         )
         if routed is not None:
-            _log_if_late(routed)
+            log_if_late(routed)
         if isinstance(failure, ClientGone):
             self.req.close_connection = True
             self.req.sent_headers = True
@@ -293,9 +291,9 @@
         headers = [(b"Content-Type", JSON_CONTENT_TYPE.encode())]
         if failed.retry_after:
             headers.append((b"Retry-After", f"{failed.retry_after:.2f}".encode()))
-        status = _http_status(failed)
+        status = http_status(failed)
         self._write_response(
-            ctx, f"{status} Not Served".encode(), headers, _failure_body(failed), status
+            ctx, f"{status} Not Served".encode(), headers, failure_body(failed), status
         )
 
     def _send_rejection(self, ctx: RequestContext, failure: Failure) -> None:
@@ -343,58 +341,6 @@
                 raw.conn.socket.sendall(body)
 
 
-def _http_status(failed: FailedRequest) -> int:
-    """Return the HTTP status of a failure.
-
-    Clients conclude from some statuses that a request was not run, so these are used
-    only if no backend server may have run it. A timeout counts as unavailability if
-    no backend server may have run the request.
-    """
-    category = failed.failure.category
-    if failed.may_have_run and category is not Category.TIMEOUT:
-        category = Category.UPSTREAM
-    if category is Category.TIMEOUT and not failed.may_have_run:
-        category = Category.UNAVAILABLE
-    return HTTP_STATUS[category]
-
-
-def _failure_body(failed: FailedRequest) -> bytes:
-    fields = describe_failure(failed.failure)
-    return to_json({**fields, "may_have_run": failed.may_have_run})
-
-
-def _describe_attempts(attempts: tuple[Attempt, ...]) -> list[dict[str, Any]]:
-    return [
-        {
-            "instance": item.destination.instance,
-            "end": item.end,
-            "ms": int(item.seconds * 1000),
-            "expected_wait_ms": item.destination.expected_wait_ms,
-            "load": round(item.destination.estimated_load, 1),
-            "report_ms": item.destination.report_age_ms,
-        }
-        for item in attempts
-    ]
-
-
-def _log_if_late(routed: RoutedRequest) -> None:
-    """Log where the time of a request went that ended late."""
-    late = -routed.remaining()
-    if late < LATE_SECONDS:
-        return
-    req = routed.req
-    emit(
-        REQUEST_LATE,
-        request=req.request_id,
-        route=routed.route.name,
-        timeout_ms=routed.route.timeout_ms,
-        late_ms=int(late * 1000),
-        thread_wait_ms=int((req.taken_at - req.received_at) * 1000),
-        body_ms=int((req.read_at - req.taken_at) * 1000),
-        rest_ms=int((monotonic() - req.read_at) * 1000),
-    )
-
-
 def _apply_limits(server: HTTPServer, ctx: RequestContext) -> None:
     """Apply the client limits of the current routing table to the HTTP server."""
     index = ctx.balancer.view.index
@@ -408,42 +354,12 @@
     server.timeout = max(1.0, limits.idle_timeout_ms / 1000)
 
 
-def _refuse_overdue(ctx: RequestContext) -> bytes:
-    """Return the whole answer to a request that no thread has taken in time."""
-    failure = ThreadsBusy()
-    REFUSALS.labels(failure.reason).inc()
-    emit(REQUEST_UNREAD, request="", reason=failure.reason, detail=failure.detail)
-    body = to_json(describe_failure(failure))
-    head = (
-        f"HTTP/1.1 {HTTP_STATUS[failure.category]} Refused\r\n"
-        f"Content-Type: {JSON_CONTENT_TYPE}\r\n"
-        f"Content-Length: {len(body)}\r\n"
-        f"Retry-After: {choose_retry_after(ctx.rng, 0):.2f}\r\n"
-        "Connection: close\r\n\r\n"
-    )
-    return head.encode() + body
-
-
-@contextmanager
-def socket_timeout(sock: socket.socket, seconds: float) -> Iterator[None]:
-    """Change the timeout of a socket until the block ends.
-
-    It limits a whole ``sendall``, but only a single ``recv``.
-    """
-    usual = sock.gettimeout()
-    sock.settimeout(seconds)
-    try:
-        yield
-    finally:
-        sock.settimeout(usual)
-
-
 @contextmanager
 def serving_requests(listener: HttpListener, ctx: RequestContext) -> Iterator[Any]:
     """Accept requests on a listener until the block ends."""
     server = make_http_server(listener, RequestGateway)
     server.ctx = ctx
     server.limits = None
-    server.overdue = OverdueTask(server, partial(_refuse_overdue, ctx))
+    server.overdue = OverdueTask(server, partial(refuse_overdue, ctx.rng))
     with running(server.overdue), running_server(server):
         yield server
