--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -47,10 +47,7 @@
 def disturbing(
     world: World, process: str, fault: str, *, cuts: bool = True
 ) -> Iterator[None]:
-    """Record that a fault may affect a process until a while after the block.
-
-    The record is there before the fault begins, and is replaced by an exact one.
-    """
+    """Record that a fault may affect a process until a while after the block."""
     begin = Seconds(time.monotonic())
     try:
         yield
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -12,6 +12,8 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from urllib3.exceptions import HTTPError
+
 from snipecart.core.task import running
 from snipecart.platform import names
 from tests.platform.fleet import FRONT
@@ -227,7 +229,7 @@
     def _serves(self, front: Front, attempt: int) -> bool:
         try:
             answer = self.fleet.request(front.gateway, f"/look/end{attempt}")
-        except Exception:
+        except HTTPError:
             return False
         return answer.status == 200
 
