--- a/tests/gateway/simulation.py
+++ b/tests/gateway/simulation.py
@@ -164,7 +164,7 @@
         while now < SECONDS:
             now += rng.expovariate(self.requests_per_s)
             while pending and pending[0][0] <= now:
-                _finish_send(servers, *heapq.heappop(pending))
+                finish_send(servers, *heapq.heappop(pending))
             turn += 1
             tally = self.seconds.setdefault(int(now), Tally())
             tally.count += 1
@@ -197,7 +197,8 @@
         return total
 
 
-def _finish_send(servers, at, turn, gateway, routed, destination, started_at):
+def finish_send(servers, at, turn, gateway, routed, destination, started_at):
+    """Record at a gateway how a send has ended."""
     gateway.now = Instant(100.0 + at)
     if at >= started_at + TIMEOUT:
         sent = SendResult(SendOutcome.TIMED_OUT, TIMEOUT)
--- a/tests/gateway/test_added_routes.py
+++ b/tests/gateway/test_added_routes.py
@@ -18,7 +18,7 @@
 from .simulation import SLOTS
 from .simulation import WARM_CAPACITY
 from .simulation import SimulatedServer
-from .simulation import _finish_send
+from .simulation import finish_send
 from .world import Gateway
 from .world import make_instance
 from .world import make_route
@@ -45,7 +45,7 @@
     while now < END:
         now += rng.expovariate(load * WARM_CAPACITY)
         while pending and pending[0][0] <= now:
-            _finish_send(servers, *heapq.heappop(pending))
+            finish_send(servers, *heapq.heappop(pending))
         turn += 1
         gateway = rng.choice(gateways)
         gateway.now = Instant(100.0 + now)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -36,7 +36,11 @@
 """Time past a route's timeout after which a request counts as held."""
 
 MIN_HELD, HELD_FRACTION = 3, 0.25
-"""Held requests, and their part of those at their timeout, that are a violation."""
+"""Held requests, and their part of those at their timeout, that are a violation.
+
+The rule asks for eight, but each client of a soak has one request at a time, so a
+gateway that stands still holds only a few.
+"""
 
 PAUSE_SLACK_SECONDS, MAX_IN_PAUSE = 0.5, 2
 """Time until a pause binds, and the requests that may still come in it."""
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -8,9 +8,9 @@
 import time
 from contextlib import contextmanager
 from contextlib import suppress
+from random import Random
 from subprocess import TimeoutExpired
 from typing import TYPE_CHECKING
-from typing import Any
 
 from urllib3.exceptions import HTTPError
 
@@ -34,7 +34,6 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
     from pathlib import Path
-    from random import Random
 
     from tests.platform.fleet import PlatformFleet
 
@@ -199,7 +198,8 @@
         with self._lock:
             free = [name for name in among if name not in self._borrowed]
             name = rng.choice(free) if len(among) - len(free) < most else ""
-            self._borrowed.add(name)
+            if name:
+                self._borrowed.add(name)
         try:
             yield name
         finally:
@@ -255,7 +255,9 @@
         wait_for(lambda: all(map(fleet.is_ready, world.gateways)))
         exits = threading.Thread(target=world.watch_exits, daemon=True)
         exits.start()
-        callers = [Client(world.fronts, _fork(rng), recorder) for _ in range(clients)]
+        callers = [
+            Client(world.fronts, Random(rng.random()), recorder) for _ in range(clients)
+        ]
         operator.thread.start()
         for caller in callers:
             caller.thread.start()
@@ -265,10 +267,6 @@
             _stop_all(world, operator, callers)
 
 
-def _fork(rng: Random) -> Any:
-    return type(rng)(rng.random())
-
-
 def _stop_all(world: World, operator: Operator, callers: list[Client]) -> None:
     """Stop clients and operators, and ask each gateway whether it serves."""
     operator.stopping.set()
