--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -35,11 +35,15 @@
         self._threads: list[threading.Thread] = []
         self._count = 0
 
-    def press(self, path: str, per_s: float, seconds: float) -> None:
+    def press(
+        self, path: str, per_s: float, seconds: float, method: str = "GET"
+    ) -> None:
         """Send requests at a rate for a number of seconds."""
         started_at, count = time.monotonic(), 0
         while time.monotonic() < started_at + seconds:
-            thread = threading.Thread(target=self._send, args=(path, self._count))
+            thread = threading.Thread(
+                target=self._send, args=(method, path, self._count)
+            )
             thread.start()
             self._threads.append(thread)
             self._count += 1
@@ -51,7 +55,7 @@
         for thread in self._threads:
             thread.join(WAIT_S + 3.0)
 
-    def _send(self, path: str, number: int) -> None:
+    def _send(self, method: str, path: str, number: int) -> None:
         request = f"{self._prefix}{number:08x}"
         conn = http.client.HTTPConnection(self._gateway_host, FRONT, timeout=WAIT_S)
         headers = {
@@ -62,7 +66,7 @@
         }
         status, sent_at = 0, time.monotonic()
         try:
-            conn.request("GET", path, headers=headers)
+            conn.request(method, path, headers=headers)
             sent_at = time.monotonic()
             answer = conn.getresponse()
             answer.read()
--- a/review/standins/endpoint.py
+++ b/review/standins/endpoint.py
@@ -68,34 +68,52 @@
         self._sequence = 0
         self._slots = threading.Semaphore(self.slots)
         self._running = 0
-        self.ending = threading.Event()
+        self._sockets: set[socket.socket] = set()
+        self.silent = threading.Event()
+        """Set once it sends no more status reports."""
         self._listener = socket.create_server((self.host, self.port), backlog=256)
 
     def start(self) -> None:
-        """Accept connections and send status reports until ``ending`` is set."""
+        """Accept connections and send status reports until ``silent`` is set."""
         threading.Thread(target=self._accept, daemon=True).start()
         threading.Thread(target=self._report_always, daemon=True).start()
 
     def end(self) -> None:
-        """Stop accepting connections."""
-        self.ending.set()
+        """Take no more connections and requests; finish those that run."""
+        self.silent.set()
         with suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
+        for sock in list(self._sockets):
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RD)
 
     def _report_always(self) -> None:
         turn = 0
-        while not self.ending.is_set():
+        while not self.silent.is_set():
             for _ in self.controls:
                 turn += 1
                 if self._report(self.controls[turn % len(self.controls)]):
                     break
-            self.ending.wait(BEAT_S)
+            self.silent.wait(BEAT_S)
 
     def _report(self, machine: Machine) -> bool:
         """Send a status report; return whether it was acknowledged."""
+        return self.send_report(machine, self.make_report())
+
+    def send_report(self, machine: Machine, body: str) -> bool:
+        """Deliver a status report; return whether it was acknowledged."""
+        return post(machine, f"/-/Instances.Heartbeat/{self.name}", body)
+
+    def deregister(self, machine: Machine) -> bool:
+        """Say that the endpoint leaves; return whether that was acknowledged."""
+        body = json.dumps({"born": self.born})
+        return post(machine, f"/-/Instances.Deregister/{self.name}", body)
+
+    def make_report(self) -> str:
+        """Return the next status report."""
         self._sequence += 1
-        body = json.dumps(
+        return json.dumps(
             {
                 "address": f"{self.host}:{self.port}",
                 "born": self.born,
@@ -112,15 +130,6 @@
                 },
             }
         )
-        conn = http.client.HTTPConnection(machine.host, CONTROL, timeout=1.0)
-        try:
-            path = f"/-/Instances.Heartbeat/{self.name}"
-            conn.request("POST", path, body, {"Content-Type": "application/json"})
-            return conn.getresponse().status // 100 == 2
-        except (OSError, http.client.HTTPException):
-            return False
-        finally:
-            conn.close()
 
     def _accept(self) -> None:
         while True:
@@ -132,10 +141,12 @@
 
     def _serve(self, sock: socket.socket) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sockets.add(sock)
         with suppress(OSError, ValueError), sock, sock.makefile("rb") as stream:
             while (request := _read_request(stream)) is not None:
                 if not self._handle(sock, request):
-                    return
+                    break
+        self._sockets.discard(sock)
 
     def _handle(self, sock: socket.socket, request: Request) -> bool:
         """Answer one request; return whether the connection stays open."""
@@ -174,6 +185,18 @@
         return make_answer(status, body, fields + (more or []))
 
 
+def post(machine: Machine, path: str, body: str) -> bool:
+    """Call a control process; return whether it answered with a 2xx in a second."""
+    conn = http.client.HTTPConnection(machine.host, CONTROL, timeout=1.0)
+    try:
+        conn.request("POST", path, body, {"Content-Type": "application/json"})
+        return conn.getresponse().status // 100 == 2
+    except (OSError, http.client.HTTPException):
+        return False
+    finally:
+        conn.close()
+
+
 def make_answer(status: int, body: bytes, fields: list[tuple[str, str]]) -> bytes:
     """Return an answer with a length."""
     head = "".join(f"{name}: {value}\r\n" for name, value in fields)
