--- a/review/3/run.py
+++ b/review/3/run.py
@@ -2,23 +2,24 @@
 
 from __future__ import annotations
 
-import os
-import shutil
 import sys
-import tempfile
 import threading
 import time
 from collections import Counter
 from pathlib import Path
+from typing import TYPE_CHECKING
 
+from standins.case import run_case
 from standins.clients import Clients
 from standins.endpoint import Endpoint
 from standins.operator import Operator
 from standins.operator import make_manifest
 from standins.operator import make_route
 from standins.platform import ZONES
-from standins.platform import Platform
-from standins.record import Record
+
+if TYPE_CHECKING:
+    from standins.platform import Platform
+    from standins.record import Record
 
 SERVICE, HOSTNAME, PATH = "huvo11a", "ficu95.example", "/pufi791/2f"
 
@@ -165,18 +166,5 @@
     return int(bool(late))
 
 
-def main() -> int:
-    """Run the case in a temporary folder."""
-    record = Record(Path(__file__).with_name("record.txt"))
-    trouble = os.environ.get("TROUBLE") != "0"
-    folder = Path(tempfile.mkdtemp(prefix="review-"))
-    platform = Platform(folder, "127.71.6", controls=3, entries=1)
-    try:
-        return run(platform, record, trouble)
-    finally:
-        platform.end()
-        shutil.rmtree(folder, ignore_errors=True)
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(Path(__file__).parent, "127.71.6", 1, run))
