Record departures of backend servers in the log before they are acknowledged

What callers saw: after a start of all control processes and the gateway, a late heartbeat brought a server into use again that had left.

Cause: departures were in memory only, at the control processes and gateways. Each copy covers the loss of some processes, none the start of all. Ruled out: a comparison of start times that takes the heartbeat for that of a later run (refused where the departure is known), and an old list of a gateway (it was killed, too).

Change: the leader records departures, of servers that have left and of those that say that they leave, in the log; an update is confirmed once gateways and log have it. A process that starts applies them, and lists no servers before its log has all that was committed before its start.

--- a/src/snipecart/control/discovery/gateways.py
+++ b/src/snipecart/control/discovery/gateways.py
@@ -15,11 +15,11 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from ...core.ids import InstanceId
     from ...core.ids import Instant
     from ...core.ids import MemberId
     from ...core.ids import RegionName
     from ...core.ids import ZoneName
+    from ...messages.discovery import Departure
     from ...messages.discovery import Gateway
     from ...messages.discovery import InstanceSeen
     from ...messages.discovery import SyncRequest
@@ -45,7 +45,7 @@
 """
 
 CONFIRMATION_TIMEOUT = 0.7
-"""Seconds that an update waits for the confirmations of the gateways."""
+"""Seconds that an update waits for the gateways' confirmations and the log."""
 
 
 @dataclass
@@ -63,11 +63,11 @@
 
 @dataclass
 class UnconfirmedUpdate:
-    """Store an update of a leaving instance that some gateways have not confirmed."""
+    """Store an update of a leaving instance until gateways and log have it."""
 
-    instance: InstanceId
-    sequence: int
+    departure: Departure
     waiting: set[MemberId]
+    """Gateways that have not confirmed it."""
     deadline: Instant
     reply: Callable[[bool], None]
 
@@ -76,8 +76,9 @@
 
         Its confirmation of another instance, or of an earlier state, doesn't count.
         """
-        is_current = not seen.sequence or seen.sequence >= self.sequence
-        if seen.instance == self.instance and is_current:
+        instance = self.departure.instance
+        is_current = not seen.sequence or seen.sequence >= instance.sequence
+        if seen.instance == instance.instance and is_current:
             self.waiting.discard(seen.gateway)
 
 
--- a/src/snipecart/control/discovery/handlers.py
+++ b/src/snipecart/control/discovery/handlers.py
@@ -7,11 +7,13 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from ...core.events import DEPARTURES_RECORDED
 from ...core.events import HEARTBEAT_STALE
 from ...core.events import HEARTBEAT_UNCONFIRMED
 from ...core.events import emit
 from ...core.ids import Instant
 from ...core.registry import Registry
+from ...messages.discovery import Departure
 from ...messages.discovery import Gossip
 from ...messages.discovery import InstanceSeen
 from ...messages.discovery import RoutingChanged
@@ -30,6 +32,9 @@
     from ...wire.links import IncomingMessage
     from .task import DiscoveryTask
 
+MAX_LOGGED = 8
+"""Instances that a log line names at most."""
+
 Handler = Callable[["DiscoveryTask", Any, Instant], None]
 
 HANDLERS: Registry[type[Any], Handler] = Registry("handlers of discovery messages")
@@ -40,7 +45,7 @@
     """Record a heartbeat or departure that a backend server sent to this process.
 
     The update of a leaving instance is confirmed once every live gateway has
-    confirmed it.
+    confirmed it and the log has recorded it.
     """
     leaving = is_leaving(Change(update.instance, update.gone))
     if not task.accepts_updates(leaving, now):
@@ -61,8 +66,7 @@
         waiting = task.push_changes([Change(result.received, update.gone)], now)
     task.unconfirmed.append(
         UnconfirmedUpdate(
-            result.received.instance,
-            result.received.sequence,
+            Departure(result.received, update.gone),
             set(waiting),
             Instant(now + CONFIRMATION_TIMEOUT),
             update.reply,
@@ -120,8 +124,12 @@
 def handle_committed_state(
     task: DiscoveryTask, committed_state: CommittedState, now: Instant
 ) -> None:
-    """Notify the gateways of a newer routing table or newer evacuations."""
+    """Apply recorded departures, and notify the gateways of newer routing.
+
+    Newer routing is a newer table or newer evacuations.
+    """
     before, task.committed_state = task.committed_state, committed_state
+    _apply_departures(task, committed_state, now)
     versions = (committed_state.routing_version, committed_state.evacuation_index)
     if versions == (before.routing_version, before.evacuation_index):
         return
@@ -129,6 +137,27 @@
         item.push(RoutingChanged(*versions))
 
 
+def _apply_departures(
+    task: DiscoveryTask, committed_state: CommittedState, now: Instant
+) -> None:
+    """Apply the departures that the log has recorded since the last ones."""
+    added = task.departures.update(committed_state.departures)
+    if not added:
+        return
+    emit(
+        DEPARTURES_RECORDED,
+        index=task.departures.index,
+        departures=len(added),
+        instances=",".join(item.instance.instance for item in added[:MAX_LOGGED]),
+    )
+    for departure in added:
+        if not task.instances.has_departed(departure.instance):
+            result = task.instances.apply_update(
+                departure.instance, departure.gone, now
+            )
+            task.push_changes(list(result.changes), now)
+
+
 @HANDLERS.register(SyncRequest)
 def handle_sync(task: DiscoveryTask, req: IncomingMessage, now: Instant) -> None:
     """Answer a gateway with the changes that it lacks."""
@@ -141,10 +170,11 @@
     sends_routing = sync.wants_routing and newer_routing
     newer_members = committed_state.members_index > sync.control_index
     newer_zones = committed_state.evacuation_index > sync.evacuation_index
-    feed = task.change_feed.changes_for(sync, now)
+    caught_up = committed_state.caught_up
+    feed = task.change_feed.changes_for(sync, now) if caught_up else None
     changes = feed.changes if feed is not None else ()
     in_contact = task.in_contact(now)
-    ready = in_contact and task.is_settled(now)
+    ready = in_contact and caught_up and task.is_settled(now)
     answer = SyncAnswer(
         source=task.run_id if feed is not None else "",
         revision=task.instances.revision if feed is not None else 0,
--- a/src/snipecart/control/discovery/table.py
+++ b/src/snipecart/control/discovery/table.py
@@ -13,6 +13,7 @@
 from ...core.ids import Instant
 from ...core.ids import Millis
 from ...core.states import EndpointState
+from ...messages.discovery import DEPARTURE_LIFETIME
 from ...messages.discovery import FINAL_SEQUENCE
 from ...messages.discovery import digest_instances
 
@@ -25,9 +26,6 @@
 SILENCE_TIMEOUT = 8.0
 """Seconds without a heartbeat after which an instance counts as gone."""
 
-TOMBSTONE_LIFETIME = 120.0
-"""Seconds for which a tombstone is kept, to recognise late heartbeats."""
-
 FIRST_SEQUENCE = 1
 """Sequence number of the first heartbeat of an instance."""
 
@@ -150,7 +148,7 @@
         expired = [
             tombstone
             for tombstone in self.tombstones.values()
-            if now > tombstone.removed_at + TOMBSTONE_LIFETIME
+            if now > tombstone.removed_at + DEPARTURE_LIFETIME
         ]
         for tombstone in expired:
             del self.tombstones[tombstone.instance.instance]
@@ -197,6 +195,13 @@
             if departed and now < tombstone.removed_at + LATE_HEARTBEAT_WINDOW:
                 yield Change(tombstone.instance, gone=True)
 
+    def has_departed(self, instance: Instance) -> bool:
+        """Return whether it is stored that a run of an instance has left."""
+        tombstone = self.tombstones.get(instance.instance)
+        if tombstone is None or tombstone.instance.born != instance.born:
+            return False
+        return tombstone.instance.sequence == FINAL_SEQUENCE
+
     def _is_stale(self, received: Instance) -> bool:
         """Return whether a later heartbeat is stored.
 
--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -21,9 +21,11 @@
 from ...core.task import monotonic
 from ...core.token_bucket import TokenBucket
 from ...messages.discovery import InstanceChanged
+from ...messages.discovery import RecordDepartures
 from ...wire.links import IncomingMessage
 from .change_feed import FULL_SYNC_SERVERS_PER_SECOND
 from .change_feed import ChangeFeed
+from .departures import DepartureIndex
 from .gateways import LOOKUP_TIMEOUT
 from .gateways import SHARE_TIMEOUT
 from .gateways import GatewayTable
@@ -70,18 +72,25 @@
     """Own the tables of instances and gateways of one control process."""
 
     def __init__(
-        self, vm: VmName, broadcast: Callable[[Any], None], heartbeat_interval: float
+        self,
+        vm: VmName,
+        broadcast: Callable[[Any], None],
+        record: Callable[[RecordDepartures], Any],
+        heartbeat_interval: float,
     ) -> None:
         super().__init__("discovery", 16_384)
         self.settle_seconds = SETTLE_INTERVALS * heartbeat_interval
         self.vm = vm
         self.broadcast = broadcast
+        self.record = record
+        """Passes departures to the log."""
         self.run_id = uuid.uuid4().hex[:12]
         self.started_at = monotonic()
         self.instances = InstanceTable()
         self.gateways = GatewayTable()
         self.committed_state = CommittedState()
         self.unconfirmed: list[UnconfirmedUpdate] = []
+        self.departures = DepartureIndex()
         self.gossip = GossipState(vm, self.run_id, self.settle_seconds)
         per_second = FULL_SYNC_SERVERS_PER_SECOND
         full_syncs = TokenBucket(per_second, per_second, per_second, Instant(0.0))
@@ -129,6 +138,7 @@
                 now, everything=now < self.gossip.whole_until
             )
             self.broadcast(replace(self.gossip.take(), rate_limits=limits))
+            self._record_departures()
         self.check_gateways(now)
 
     def send_gossip_soon(self, now: Instant) -> None:
@@ -139,6 +149,13 @@
         """
         self._gossip_due = now
 
+    def _record_departures(self) -> None:
+        """Ask the log to record the departures that it lacks, until it has them."""
+        pending = [item.departure for item in self.unconfirmed]
+        missing = [item for item in pending if not self.departures.has(item)]
+        if missing:
+            self.record(RecordDepartures(tuple(missing)))
+
     def in_contact(self, now: Instant) -> bool:
         """Return whether a majority of the voters, with this one, is in contact."""
         voters = {node.vm for node in self.committed_state.voters}
@@ -205,18 +222,25 @@
         return [item.gateway.gateway for item in live]
 
     def answer_updates(self, now: Instant) -> None:
-        """Answer updates that all live gateways confirmed, or that timed out."""
+        """Answer updates that gateways and log have, or that timed out."""
         if not self.unconfirmed:
             return
         live = {item.gateway.gateway for item in self.gateways.live(now)}
         for item in list(self.unconfirmed):
             item.waiting &= live
-            if item.waiting and now < item.deadline:
+            waiting = sorted(item.waiting)
+            if not self.departures.has(item.departure):
+                waiting.append("log")
+            if waiting and now < item.deadline:
                 continue
             self.unconfirmed.remove(item)
-            if item.waiting:
-                emit(HEARTBEAT_UNCONFIRMED, waiting=",".join(sorted(item.waiting)))
-            item.reply(not item.waiting)
+            if waiting:
+                emit(
+                    HEARTBEAT_UNCONFIRMED,
+                    instance=item.departure.instance.instance,
+                    waiting=",".join(waiting),
+                )
+            item.reply(not waiting)
 
     def _detect_pause(self, now: Instant) -> None:
         """Restart the settling time after a pause, in which heartbeats were missed."""
--- a/src/snipecart/control/discovery/updates.py
+++ b/src/snipecart/control/discovery/updates.py
@@ -14,6 +14,7 @@
     from ...core.ids import ZoneName
     from ...messages.commands import Node
     from ...messages.discovery import Instance
+    from ..machine.state import RecordedDeparture
 
 
 @dataclass(frozen=True)
@@ -30,7 +31,7 @@
 
 @dataclass(frozen=True)
 class CommittedState:
-    """Describe the routing table, evacuations and members that the log committed."""
+    """Describe the part of the replicated state that gateways need."""
 
     routing_version: RoutingVersion = RoutingVersion(0)
     routing: bytes = b""
@@ -40,3 +41,7 @@
     members: tuple[Node, ...] = ()
     """Voters and learners of the last committed membership change."""
     members_index: LogIndex = LogIndex(0)
+    departures: tuple[RecordedDeparture, ...] = ()
+    """Recent departures of backend servers, in the order of the log."""
+    caught_up: bool = False
+    """Whether it contains all that was committed before this process started."""
--- a/src/snipecart/control/factory.py
+++ b/src/snipecart/control/factory.py
@@ -222,7 +222,10 @@
             report=lambda synced: node.mailbox.post_blocking(synced),
         )
         discovery = DiscoveryTask(
-            cfg.vm, partial(links.send, ALL_NODES), cfg.report_every_s
+            cfg.vm,
+            broadcast=partial(links.send, ALL_NODES),
+            record=lambda command: node.post(IncomingMessage(command, _discard)),
+            heartbeat_interval=cfg.report_every_s,
         )
         node = make_node(cfg, recovered.ok, links, disk.post, discovery)
         tasks = ControlTasks(node, discovery, links)
--- a/src/snipecart/control/machine/__init__.py
+++ b/src/snipecart/control/machine/__init__.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from . import claims
+from . import departures
 from . import register
 from . import routing
 
-__all__ = ["claims", "register", "routing"]
+__all__ = ["claims", "departures", "register", "routing"]
--- a/src/snipecart/control/machine/state.py
+++ b/src/snipecart/control/machine/state.py
@@ -11,6 +11,7 @@
 
 from ...core.ids import AttemptId
 from ...core.ids import Digest
+from ...core.ids import InstanceId
 from ...core.ids import LogIndex
 from ...core.ids import RequestKey
 from ...core.ids import RoutingVersion
@@ -26,6 +27,7 @@
 from ...messages.commands import Noop
 from ...messages.commands import RecordedAnswer
 from ...messages.commands import SubmitAnswer
+from ...messages.discovery import Departure
 
 NO_ANSWER = RecordedAnswer(0, "", b"")
 
@@ -59,6 +61,15 @@
         return claim_identity(self.scope, self.key)
 
 
+@record
+class RecordedDeparture:
+    """Store a departure, and when the log recorded it."""
+
+    departure: Departure
+    index: LogIndex
+    at: UnixMillis
+
+
 def claim_identity(scope: str, key: RequestKey) -> str:
     """Return the identity of a claim from its scope and key."""
     return f"{scope}\n{key}"
@@ -66,7 +77,7 @@
 
 @dataclass(config={"ser_json_bytes": "base64", "val_json_bytes": "base64"})
 class MachineState:
-    """Store configuration, submissions, claims, routing table and evacuated zones."""
+    """Store configurations, claims, routing table, evacuated zones and departures."""
 
     now: UnixMillis = UnixMillis(0)
     version: TextVersion = TextVersion(0)
@@ -81,6 +92,8 @@
     evacuation_index: LogIndex = LogIndex(0)
     """Log index of the entry that last changed the evacuated zones."""
     evacuated: list[ZoneName] = Field(default_factory=list)
+    departures: dict[InstanceId, RecordedDeparture] = Field(default_factory=dict)
+    """Recent departures of backend servers, in the order of the log."""
 
 
 Applier = Callable[[MachineState, Any, Entry], Any]
--- a/src/snipecart/control/node.py
+++ b/src/snipecart/control/node.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from ..core.events import EVACUATION_CHANGED
+from ..core.events import LOG_CAUGHT_UP
 from ..core.events import ROUTING_ACCEPTED
 from ..core.events import SNAPSHOT_TAKEN
 from ..core.events import TEXT_ACCEPTED
@@ -73,7 +74,7 @@
     persist: Callable[[Any], bool]
     update_links: Callable[[tuple[Node, ...]], Any]
     publish: Callable[[CommittedState], Any] = lambda committed_state: None
-    """Called when the log's routing table, evacuations or members have changed."""
+    """Called when the part of the replicated state that gateways need has changed."""
 
 
 class DiskQueueFull(Exception):
@@ -117,6 +118,9 @@
             self._handle_message(message, now)
         self.run(step(self.state, Flush(), now), now)
         self._answer_leader_waiters(now)
+        if self.state.caught_up and not self.committed_state.caught_up:
+            emit(LOG_CAUGHT_UP, index=self.state.commit, term=self.state.term)
+            self.publish()
         if now >= self._tick_due:
             self._tick_due = Instant(now + TICK_INTERVAL)
             self.run(step(self.state, Tick(), now), now)
@@ -160,7 +164,7 @@
         self.publish()
 
     def publish(self) -> None:
-        """Publish the committed routing, evacuations and members if they changed."""
+        """Publish the committed state that gateways need if it has changed."""
         machine, before = self.machine, self.committed_state
         members = self.state.committed_membership
         committed_state = CommittedState(
@@ -171,6 +175,8 @@
             self.state.voters,
             (*members.voters, *members.learners),
             members.index,
+            tuple(machine.departures.values()),
+            self.state.caught_up,
         )
         if committed_state == before:
             return
--- a/src/snipecart/control/raft/replication.py
+++ b/src/snipecart/control/raft/replication.py
@@ -206,6 +206,8 @@
     effects += _store_entries(state, req.entries)
     matched = LogIndex(previous + len(req.entries))
     effects += advance_commit(state, min(req.commit, matched))
+    if state.commit >= req.commit:
+        _check_caught_up(state)
     return [
         *effects,
         SendAfterSync(req.leader, _make_append_answer(state, req.sent, True, matched)),
@@ -292,6 +294,15 @@
     return [Apply(entries)]
 
 
+def _check_caught_up(state: RaftState) -> None:
+    """Record that no earlier committed entry is missing, if the last is of this term.
+
+    A leader commits an entry of its own term only after all entries before it.
+    """
+    if state.log.term_at(state.commit) == state.term:
+        state.caught_up = True
+
+
 @HANDLERS.register(AppendAnswer)
 def handle_append_answer(
     state: RaftState, answer: AppendAnswer, now: Instant
@@ -343,7 +354,9 @@
     index = matches[state.quorum_size() - 1]
     if state.log.term_at(index) != state.term:
         return []
-    return advance_commit(state, index)
+    effects = advance_commit(state, index)
+    _check_caught_up(state)
+    return effects
 
 
 @HANDLERS.register(SyncCompletion)
--- a/src/snipecart/control/raft/state.py
+++ b/src/snipecart/control/raft/state.py
@@ -185,6 +185,9 @@
     snapshot: DiskSnapshot | None = None
     commit: LogIndex = LogIndex(0)
     """Index of the last entry known to be committed."""
+    caught_up: bool = False
+    """Whether all entries that were committed before this process started are known
+    here to be committed."""
     persisted_commit: LogIndex = LogIndex(0)
     """Value of ``commit`` in the last batch for the disk."""
     persist_commit_due: Instant = Instant(0.0)
--- a/src/snipecart/control/requests.py
+++ b/src/snipecart/control/requests.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -14,6 +15,7 @@
 from ..core.ids import Instant
 from ..core.ids import UnixMillis
 from ..core.registry import Registry
+from ..core.states import Role
 from ..messages.commands import ClaimKey
 from ..messages.commands import Noop
 from ..messages.commands import PutRouting
@@ -22,6 +24,7 @@
 from ..messages.commands import SealNotRun
 from ..messages.commands import SetEvacuation
 from ..messages.commands import SubmitText
+from ..messages.discovery import RecordDepartures
 from ..messages.members import FetchText
 from ..messages.members import Heartbeat
 from ..messages.members import TextAnswer
@@ -34,7 +37,6 @@
     from ..core.ids import NodeId
     from ..core.ids import RoutingVersion
     from ..core.states import DiskState
-    from ..core.states import Role
     from ..messages.commands import Node
     from ..wire.links import IncomingMessage
     from .node import NodeTask
@@ -138,6 +140,24 @@
     node.pending_replies[node.state.log.last_index] = reply
 
 
+@REQUESTS.register(RecordDepartures)
+def record_departures(node: NodeTask, req: IncomingMessage, now: Instant) -> None:
+    """Propose departures to the log, or pass them on to its leader.
+
+    There is no answer: the discovery task sees them in the committed state, or asks
+    again.
+    """
+    command: RecordDepartures = req.message
+    if node.state.role is Role.LEADER:
+        _propose(node, replace(command, forwarded=False), _ignore, _ignore, now)
+    elif node.state.leader and not command.forwarded:
+        node.outputs.send(node.state.leader, replace(command, forwarded=True))
+
+
+def _ignore(answer: Any) -> None:
+    """Ignore the answer to a proposal."""
+
+
 @REQUESTS.register(ReadRouting)
 def read_routing(node: NodeTask, req: IncomingMessage, now: Instant) -> None:
     """Return the newest routing table, after a quorum has committed a no-op as barrier.
--- a/src/snipecart/core/events.py
+++ b/src/snipecart/core/events.py
@@ -75,6 +75,9 @@
 DISK_RECOVERED = register_event(
     2009, logbook.NOTICE, "data folder can be written again"
 )
+LOG_CAUGHT_UP = register_event(
+    2010, logbook.INFO, "log has all that was committed before the start"
+)
 TEXT_ACCEPTED = register_event(2101, logbook.NOTICE, "configuration accepted")
 TEXT_IN_FORCE = register_event(3001, logbook.NOTICE, "configuration in force")
 CONTROL_CUT_OFF = register_event(
@@ -105,6 +108,9 @@
 HEARTBEAT_MALFORMED = register_event(
     2205, logbook.WARNING, "malformed heartbeat rejected"
 )
+DEPARTURES_RECORDED = register_event(
+    2206, logbook.INFO, "departures of backend servers recorded"
+)
 GATEWAY_ACTIVE = register_event(2211, logbook.NOTICE, "gateway active")
 GATEWAY_INACTIVE = register_event(2212, logbook.NOTICE, "gateway silent or leaving")
 ROUTING_ACCEPTED = register_event(2301, logbook.NOTICE, "routing table accepted")
--- a/src/snipecart/messages/discovery.py
+++ b/src/snipecart/messages/discovery.py
@@ -31,6 +31,10 @@
 """Sequence number of a departure; greater than that of any heartbeat."""
 
 
+DEPARTURE_LIFETIME = 120.0
+"""Seconds after a departure for which late heartbeats of the instance may arrive."""
+
+
 RATE_LEASE_DURATION = 1.5
 """Seconds after a gateway's request for which the leases in its answer are valid."""
 
@@ -182,6 +186,27 @@
     evacuation_index: int
 
 
+@record
+class Departure:
+    """State that a backend server leaves, or that it has left."""
+
+    instance: Instance
+    gone: bool
+
+
+@message
+class RecordDepartures:
+    """Record departures in the replicated log.
+
+    They outlast a restart of all control processes at once, so that none of them takes
+    a late heartbeat of a server that has left for that of a new one.
+    """
+
+    departures: tuple[Departure, ...]
+    forwarded: bool = False
+    """Whether another process passed them on, as the leader that it knows."""
+
+
 @record
 class Heard:
     """Forward a heartbeat or departure that a control process received directly."""
--- a/src/snipecart/wire/schema.capnp
+++ b/src/snipecart/wire/schema.capnp
@@ -111,6 +111,8 @@
 struct RoutingChanged { routingVersion @0 :UInt64; evacuationIndex @1 :UInt64; }
 struct Heard { instance @0 :Instance; gone @1 :Bool; }
 struct RepeatedHeartbeat { instance @0 :Text; born @1 :UInt64; sequence @2 :UInt64; }
+struct Departure { instance @0 :Instance; gone @1 :Bool; }
+struct RecordDepartures { departures @0 :List(Departure); forwarded @1 :Bool; }
 struct Gossip {
   sender @0 :Text; heard @1 :List(Heard); run @2 :Text; repeated @3 :List(RepeatedHeartbeat);
   rateLimits @4 :List(RateLimit);
@@ -152,5 +154,6 @@
     routingChanged @31 :RoutingChanged;
     gossip @32 :Gossip;
     joinAnswer @33 :JoinAnswer;
+    recordDepartures @34 :RecordDepartures;
   }
 }
--- a/tests/control/fleet_simulation.py
+++ b/tests/control/fleet_simulation.py
@@ -98,11 +98,15 @@
         self.listed = Counter()
         """Servers in the answers of each control process."""
         self._busy_until = dict.fromkeys(self.control, START) if seeds else None
-        first = CommittedState(1, routing, 0, (), nodes[:seeds], nodes[:seeds], 1)
+        first = CommittedState(
+            1, routing, 0, (), nodes[:seeds], nodes[:seeds], 1, caught_up=True
+        )
         for task in list(self.control.values())[:seeds]:
             task.handle([first], Instant(self.now))
         if seeds:
-            everyone = CommittedState(1, routing, 0, (), nodes, nodes, 2)
+            everyone = CommittedState(
+                1, routing, 0, (), nodes, nodes, 2, caught_up=True
+            )
             for task in self.control.values():
                 self.after(1.0, self._deliver, "control", task, everyone)
         peers = tuple(
@@ -122,7 +126,9 @@
         return make_routing(make_route())
 
     def _make_control(self, vm):
-        task = DiscoveryTask(vm, lambda message: self._gossip(vm, message), 1.5)
+        task = DiscoveryTask(
+            vm, lambda message: self._gossip(vm, message), lambda command: None, 1.5
+        )
         task.started_at = task._last_run_at = Instant(self.now)
         return task
 
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from snipecart.control.discovery.change_feed import FULL_SYNC_SERVERS_PER_SECOND
 from snipecart.control.discovery.gateways import LookupIndex
 from snipecart.control.discovery.table import SILENCE_TIMEOUT
@@ -13,9 +15,13 @@
 from snipecart.control.discovery.updates import CommittedState
 from snipecart.control.discovery.updates import InstanceUpdate
 from snipecart.control.inspect import describe_discovery
+from snipecart.control.machine.state import MachineState
+from snipecart.control.machine.state import apply_entry
 from snipecart.core.ids import Instant
+from snipecart.core.ids import LogIndex
 from snipecart.core.states import EndpointState
 from snipecart.core.states import MemberState
+from snipecart.messages.commands import Entry
 from snipecart.messages.commands import Node
 from snipecart.messages.discovery import Gateway
 from snipecart.messages.discovery import Gossip
@@ -126,11 +132,14 @@
 class TaskDriver:
     """Pass messages to one discovery task, without its thread."""
 
-    def __init__(self, started_at=40.0):
-        self.task = DiscoveryTask("c1", lambda message: None, 1.5)
+    def __init__(self, started_at=40.0, departures=(), *, caught_up=True):
+        self.proposed = []
+        self.task = DiscoveryTask("c1", lambda message: None, self.proposed.append, 1.5)
         self.task.started_at = started_at
         nodes = tuple(Node(f"{vm}/founder", vm, vm, 1) for vm in ("c1", "c2", "c3"))
-        self.task.handle([CommittedState(voters=nodes)], 50.0)
+        self.machine = MachineState(departures=dict(departures))
+        self.committed_state = CommittedState(voters=nodes)
+        self.commit(50.0, caught_up=caught_up)
         self.replies = []
         self.pushed = []
 
@@ -148,8 +157,23 @@
         self.task.handle([IncomingMessage(req, self.pushed.append)], now)
         return self.pushed[-1]
 
-    def send_update(self, instance, now, *, gone=False):
+    def send_update(self, instance, now, *, gone=False, commit=True):
         self.task.handle([InstanceUpdate(instance, gone, self.replies.append)], now)
+        if commit and self.proposed:
+            self.commit(now)
+
+    def commit(self, now, *, caught_up=True):
+        """Commit the proposed departures to the log."""
+        for command in self.proposed:
+            entry = Entry(LogIndex(len(self.machine.departures) + 1), 1, 0, command)
+            apply_entry(self.machine, entry)
+        self.proposed.clear()
+        self.committed_state = replace(
+            self.committed_state,
+            departures=tuple(self.machine.departures.values()),
+            caught_up=caught_up,
+        )
+        self.task.handle([self.committed_state], now)
 
     def confirm(self, name, now, instance=FIRST):
         confirmation = InstanceSeen(name, instance.instance, instance.sequence)
@@ -548,3 +572,66 @@
     control.send_update(FIRST, 50.2, gone=True)
     assert control.replies == [True]
     assert [item.gone for message in sent for item in message.heard] == [False, True]
+
+
+def test_a_departure_is_not_confirmed_until_the_log_has_recorded_it():
+    control = TaskDriver()
+    control.receive_gossip(50.0, "c2")
+    control.send_update(FIRST, 50.0)
+    control.send_update(FIRST, 50.1, gone=True, commit=False)
+    assert control.replies == [True]
+    control.commit(50.2)
+    assert control.replies == [True, True]
+    control.receive_gossip(50.9, "c2")
+    control.send_update(make_instance(2), 50.9, gone=True, commit=False)
+    control.task.handle([], 51.7)
+    assert control.replies == [True, True, False]
+
+
+def test_an_unrecorded_departure_is_proposed_again_until_it_is_recorded():
+    control = TaskDriver()
+    control.receive_gossip(50.0, "c2")
+    control.send_update(FIRST, 50.1, gone=True, commit=False)
+    for now in (50.5, 50.7):
+        control.task.handle([], now)
+    assert len(control.proposed) == 2
+    control.commit(50.7)
+    control.task.handle([], 51.1)
+    assert control.proposed == []
+
+
+@pytest.mark.parametrize("gone", [True, False])
+def test_late_heartbeats_are_stale_after_a_restart_of_all_control_processes(gone):
+    departure = replace(FIRST, sequence=9, state=EndpointState.LEAVING)
+    before = TaskDriver()
+    before.receive_gossip(50.0, "c2")
+    before.send_update(departure, 50.1, gone=gone)
+    restarted = TaskDriver(50.0, before.machine.departures, caught_up=False)
+    restarted.send_update(replace(FIRST, sequence=8), 50.2)
+    live = restarted.task.instances.live.values()
+    assert not [item for item in live if item.instance.state is EndpointState.SERVING]
+
+
+def test_a_process_lists_no_servers_before_its_log_has_caught_up():
+    control = TaskDriver(started_at=50.0, caught_up=False)
+    control.send_update(FIRST, 50.1)
+    assert control.send_sync_answer("g1", 50.2).source == ""
+    left = TaskDriver()
+    left.receive_gossip(50.0, "c2")
+    left.send_update(replace(FIRST, sequence=2), 50.1, gone=True)
+    control.machine = left.machine
+    control.commit(50.3)
+    answer = control.send_sync_answer("g1", 50.4)
+    assert answer.source
+    assert not answer.instances
+
+
+def test_a_recorded_departure_removes_no_later_run_of_the_instance():
+    control = TaskDriver()
+    control.receive_gossip(50.0, "c2")
+    control.send_update(FIRST, 50.1, gone=True)
+    reborn = TaskDriver(50.0, caught_up=False)
+    reborn.send_update(replace(FIRST, born=2000), 50.2)
+    reborn.machine = control.machine
+    reborn.commit(50.3)
+    assert FIRST.instance in reborn.task.instances.live
