Lease no rates while leases of an earlier run may be valid

Cause: a control process leases rates once it has settled, after 1.6 heartbeat intervals. Where the interval is under 0.94 s, that is before leases of 1.5 s have ended that the processes granted before they all started again; both together pass a server's rate.

The test failed before: leases at 0.9 and 1.4 s after a start. It passes now.

--- a/src/snipecart/control/discovery/task.py
+++ b/src/snipecart/control/discovery/task.py
@@ -20,6 +20,7 @@
 from ...core.task import Task
 from ...core.task import monotonic
 from ...core.token_bucket import TokenBucket
+from ...messages.discovery import RATE_LEASE_DURATION
 from ...messages.discovery import InstanceChanged
 from ...messages.discovery import RecordDepartures
 from ...wire.links import IncomingMessage
@@ -79,7 +80,11 @@
         heartbeat_interval: float,
     ) -> None:
         super().__init__("discovery", 16_384)
-        self.settle_seconds = SETTLE_INTERVALS * heartbeat_interval
+        self.settle_seconds = max(
+            SETTLE_INTERVALS * heartbeat_interval, RATE_LEASE_DURATION
+        )
+        """Time after a start until this process has all live instances, and no lease of
+        an earlier run is valid."""
         self.vm = vm
         self.broadcast = broadcast
         self.record = record
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -23,6 +23,7 @@
 from snipecart.core.states import MemberState
 from snipecart.messages.commands import Entry
 from snipecart.messages.commands import Node
+from snipecart.messages.discovery import RATE_LEASE_DURATION
 from snipecart.messages.discovery import Gateway
 from snipecart.messages.discovery import Gossip
 from snipecart.messages.discovery import Heard
@@ -125,16 +126,18 @@
 
 
 def make_request(name, **overrides):
-    request = SyncRequest(make_gateway(name), "", 0, 0, 0, True, 0, False, 0)
+    request = SyncRequest(make_gateway(name), "", 0, 0, 0, True, 0, False, 0, 9.0)
     return replace(request, **overrides)
 
 
 class TaskDriver:
     """Pass messages to one discovery task, without its thread."""
 
-    def __init__(self, started_at=40.0, departures=(), *, caught_up=True):
+    def __init__(self, started_at=40.0, departures=(), *, caught_up=True, interval=1.5):
         self.proposed = []
-        self.task = DiscoveryTask("c1", lambda message: None, self.proposed.append, 1.5)
+        self.task = DiscoveryTask(
+            "c1", lambda message: None, self.proposed.append, interval
+        )
         self.task.started_at = started_at
         nodes = tuple(Node(f"{vm}/founder", vm, vm, 1) for vm in ("c1", "c2", "c3"))
         self.machine = MachineState(departures=dict(departures))
@@ -635,3 +638,11 @@
     reborn.machine = control.machine
     reborn.commit(50.3)
     assert FIRST.instance in reborn.task.instances.live
+
+
+def test_a_process_leases_no_rates_while_leases_of_an_earlier_run_may_be_valid():
+    control = TaskDriver(started_at=50.0, interval=0.2)
+    for now in (50.1, 50.9, 51.4, 51.6):
+        control.receive_gossip(now, "c2")
+        answer = control.send_sync_answer("g1", now)
+        assert bool(answer.lease_start) == (now > 50.0 + RATE_LEASE_DURATION)
