Believe a reported slowdown for ten seconds only

Cause: a server that reports a high slowdown gets no requests while others have room, so it has no answer in which to report a lower one. One odd report takes it out of use for good.

Change: a slowdown counts for SLOWDOWN_MAX_AGE after the last load report. Servers that get requests report more often, so nothing changes for them.

test_a_server_that_reported_a_high_slowdown_gets_requests_again fails without the limit of age: the server gets none of 60 requests in 30 s.

--- a/src/snipecart/gateway/balancing/selection.py
+++ b/src/snipecart/gateway/balancing/selection.py
@@ -117,7 +117,7 @@
 
     def cost(item: Server) -> float:
         time = usual if item in warm else usual + unwarmed_cost
-        return item.expected_wait(usual, now) + time * item.slowdown
+        return item.expected_wait(usual, now) + time * item.slowdown(now)
 
     may_spread = _utilisation(usable, now) < SPREAD_THRESHOLD
     for item in sorted(usable if may_spread else warm, key=cost):
@@ -165,7 +165,7 @@
         if name in tried or not _may_serve(state, server, routed.route):
             continue
         free = server.load(now) < server.slots and server.is_sound(now)
-        free = free and server.slowdown < COMPARED_SLOWDOWN
+        free = free and server.slowdown(now) < COMPARED_SLOWDOWN
         return server if free and acquire_send(state, server, now) else None
     return None
 
--- a/src/snipecart/gateway/balancing/server.py
+++ b/src/snipecart/gateway/balancing/server.py
@@ -25,6 +25,12 @@
 LOAD_REPORT_MAX_AGE = 1.5
 """Seconds until the weight of a load report has fallen to zero."""
 
+SLOWDOWN_MAX_AGE = 10.0
+"""Seconds after its last load report for which a server's slowdown is believed.
+
+A server that reports a high one gets no requests, and so can't report a lower one.
+"""
+
 BASE_EJECTION_TIME = 0.8
 """Seconds of a first ejection; doubles with each ejection until a send is answered."""
 
@@ -87,8 +93,9 @@
     other_load: float = 0.0
     """Requests of other gateways that ran or waited at the last load report."""
     load_reported_at: Instant = Instant(-1e9)
-    slowdown: float = 1.0
-    """Estimated ratio of the time that work takes on its machine to the usual time."""
+    reported_slowdown: float = 1.0
+    """Ratio of the time that work takes on its machine to the usual time, estimated
+    from its load reports."""
     failures: int = 0
     """Consecutive failed sends."""
     ejections: int = 0
@@ -149,12 +156,17 @@
         fresh = max(0.0, 1.0 - (now - self.load_reported_at) / LOAD_REPORT_MAX_AGE)
         return self.sending + self.other_load * fresh
 
+    def slowdown(self, now: Instant) -> float:
+        """Estimate the ratio of the time that work takes there to the usual time."""
+        is_fresh = now < self.load_reported_at + SLOWDOWN_MAX_AGE
+        return self.reported_slowdown if is_fresh else 1.0
+
     def expected_wait(self, usual: float, now: Instant) -> float:
         """Estimate the seconds until it starts one more request.
 
         ``usual`` is the usual time of the route in seconds.
         """
-        time = usual * self.slowdown
+        time = usual * self.slowdown(now)
         return max(0.0, time * (self.load(now) - self.slots + 1) / self.slots)
 
     def is_warm_for(self, key: str) -> bool:
@@ -235,7 +247,8 @@
     ) -> None:
         """Apply a load report."""
         elapsed = now - self.load_reported_at
-        self.slowdown = estimate(self.slowdown, report.slowdown, elapsed)
+        before = self.slowdown(now)
+        self.reported_slowdown = estimate(before, report.slowdown, elapsed)
         self.other_load = max(0.0, report.running + report.waiting - self.sending)
         self.load_reported_at = now
 
--- a/tests/gateway/test_slowdown.py
+++ b/tests/gateway/test_slowdown.py
@@ -56,3 +56,20 @@
     gateway.now += 10.0
     gateway.end(routed, first, load=report)
     assert gateway.select(gateway.request()).instance == other
+
+
+def test_a_server_that_reported_a_high_slowdown_gets_requests_again():
+    gateway = Gateway(make_routing(make_route()))
+    gateway.add_instances(make_instance(1), make_instance(2))
+    routed = gateway.request()
+    first = gateway.select(routed)
+    gateway.end(routed, first, load=LoadReport(1, 0, 4, 100.0))
+    chosen = []
+    for number in range(60):
+        gateway.now += 0.5
+        routed = gateway.request(key=str(number))
+        destination = gateway.select(routed)
+        chosen.append(destination.instance)
+        gateway.end(routed, destination)
+    assert first.instance not in chosen[:10]
+    assert first.instance in chosen[30:]
