Bound every number that a peer writes as text

Cause: the parser took any number of digits, and the balancer's task multiplied the load by a float: OverflowError, a failed task ends its program. Numbers of peers were checked for their form, each place in its own way, and mostly not for their size. Ruled out by tests with 13, 400 and 5,000 digits: that the header ends the exchange or the client's connection; the answer is whole, and what is made of it raises.

Change: core/numbers.py parses plain numbers of at most twelve digits, and all places that turn a peer's text into a number use it. The same class: Keep-Alive with 400 digits raised after the answer, with 5,000 the answer was lost; a Content-Length of 5,000 digits let an answer be read until the server closed; the entry process took nan and inf for a load.

--- a/src/snipecart/control/pages.py
+++ b/src/snipecart/control/pages.py
@@ -19,6 +19,7 @@
 from ..core.failures import VersionConflict
 from ..core.ids import SubmissionId
 from ..core.ids import TextVersion
+from ..core.numbers import parse_count
 from ..core.states import SubmitVerdict
 from ..messages.commands import Refused
 from ..messages.commands import SubmitAnswer
@@ -89,11 +90,12 @@
         parsed = parse_text(text)
         if parsed.is_error():
             return self._refuse(parsed.error)
-        if not base.isdecimal() or not submission:
+        base_version = parse_count(base)
+        if base_version is None or not submission:
             return self._refuse(
                 Failure("base must be a version number and submission an id")
             )
-        command = SubmitText(SubmissionId(submission), TextVersion(int(base)), text)
+        command = SubmitText(SubmissionId(submission), TextVersion(base_version), text)
         answer = self._ask(command)
         if answer.is_error():
             return self._refuse(answer.error)
--- a/src/snipecart/entry/backend.py
+++ b/src/snipecart/entry/backend.py
@@ -9,6 +9,7 @@
 from ..core.ids import EndpointId
 from ..core.ids import Instant
 from ..core.memory import unlimited_reservation
+from ..core.numbers import parse_decimal
 from ..core.states import DispatchOutcome
 from ..core.task import monotonic
 from ..messages.commands import RecordedAnswer
@@ -191,7 +192,5 @@
 
 
 def _parse_load(answer: HttpAnswer) -> float:
-    try:
-        return float(answer.header(LOAD_HEADER) or NO_LOAD_REPORT)
-    except ValueError:
-        return NO_LOAD_REPORT
+    load = parse_decimal((answer.header(LOAD_HEADER) or "").strip())
+    return load if load is not None else NO_LOAD_REPORT
--- a/src/snipecart/entry/source.py
+++ b/src/snipecart/entry/source.py
@@ -17,6 +17,7 @@
 from ..core.ids import KindName
 from ..core.ids import RequestKey
 from ..core.ids import ServiceName
+from ..core.numbers import parse_count
 from ..core.states import Outcome
 from ..core.states import Rank
 from ..core.task import monotonic
@@ -79,9 +80,10 @@
             return Error(_refuse("request must be POST /call/<service>/<kind>"))
         timeout = environ.get("HTTP_SNIPECART_DEADLINE_MS", "0")
         length = environ.get("CONTENT_LENGTH") or "0"
-        if not (_is_number(timeout) and _is_number(length)):
+        timeout_ms, body_size = parse_count(timeout), parse_count(length)
+        if timeout_ms is None or body_size is None:
             return Error(_refuse("Snipecart-Deadline-Ms or Content-Length is invalid"))
-        size = min(int(length), self._max_body + 1)
+        size = min(body_size, self._max_body + 1)
         body = environ["wsgi.input"].read(size) if size else b""
         if len(body) < size:
             return Error(_refuse("body is shorter than Content-Length"))
@@ -94,7 +96,7 @@
                     environ.get("HTTP_SNIPECART_CALLER", "") or ANONYMOUS_CALLER
                 ),
                 RequestKey(environ.get("HTTP_SNIPECART_KEY", "")),
-                int(timeout),
+                timeout_ms,
                 body,
                 environ.get("CONTENT_TYPE") or "application/octet-stream",
                 self._ranks.get(int(environ["SERVER_PORT"])),
@@ -104,10 +106,6 @@
         )
 
 
-def _is_number(text: str) -> bool:
-    return text.isascii() and text.isdecimal() and len(text) <= 12
-
-
 def _refuse(detail: str) -> CallFailed:
     return CallFailed("", BadCall(detail), Outcome.UNKNOWN)
 
--- a/src/snipecart/gateway/server.py
+++ b/src/snipecart/gateway/server.py
@@ -30,6 +30,7 @@
 from ..core.memory import MemoryBudget
 from ..core.memory import MemoryReservation
 from ..core.memory import reserving
+from ..core.numbers import parse_count
 from ..core.sockets import has_peer_closed
 from ..core.sockets import socket_timeout
 from ..core.states import DrainState
@@ -74,8 +75,6 @@
     from .request import HeaderNames
     from .watch import WatchTask
 
-MAX_TIMEOUT_DIGITS = 9
-
 MAX_BODY_SECONDS = 60.0
 """Longest time that a client may take to send a body."""
 
@@ -161,17 +160,14 @@
             return Error(BadCall("request target is not ASCII"))
         fields = {name.lower(): value for name, value in headers}
         timeout = fields.get(ctx.names.deadline_ms.lower(), "0")
-        if not (
-            timeout.isascii()
-            and timeout.isdecimal()
-            and len(timeout) <= MAX_TIMEOUT_DIGITS
-        ):
+        timeout_ms = parse_count(timeout)
+        if timeout_ms is None:
             return Error(
                 BadCall(
                     f"{ctx.names.deadline_ms} is not a valid number of milliseconds"
                 )
             )
-        seconds = self._body_timeout(ctx, fields.get("host", ""), target, int(timeout))
+        seconds = self._body_timeout(ctx, fields.get("host", ""), target, timeout_ms)
         body = self._read_body(Instant(received_at + seconds), body_memory)
         if body.is_error():
             return body
@@ -191,7 +187,7 @@
                 body.ok,
                 RequestId(fields.get(ctx.names.request_id.lower(), "")),
                 ObjectKey(fields.get(ctx.names.object.lower(), "")),
-                int(timeout),
+                timeout_ms,
                 received_at,
                 Cancellation(),
                 answer_memory,
@@ -218,12 +214,11 @@
         self, deadline: Instant, reservation: MemoryReservation
     ) -> Result[bytes, Failure]:
         raw = self.req
-        length = raw.inheaders.get(b"Content-Length", b"0")
-        if not length.isdigit():
-            return Error(BadCall("Content-Length is not a number"))
-        framing = BodyFraming(
-            int(length), raw.chunked_read, raw.server.max_request_body_size
-        )
+        length = raw.inheaders.get(b"Content-Length", b"0").decode("latin-1")
+        size = parse_count(length)
+        if size is None:
+            return Error(BadCall("Content-Length is not a valid number"))
+        framing = BodyFraming(size, raw.chunked_read, raw.server.max_request_body_size)
         # cheroot would read what its own wrapper of the stream has not seen.
         raw.rfile = raw.conn.rfile
         with raw.server.ctx.body_slots.waiting() as slot:
--- a/src/snipecart/gateway/server_notice.py
+++ b/src/snipecart/gateway/server_notice.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import http.client
-import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from ..core.numbers import parse_decimal
 from ..core.registry import Registry
 from .metrics import MALFORMED_NOTICES
 
@@ -28,8 +28,6 @@
 A limit is lifted by an answer without it, so some requests are needed.
 """
 
-DECIMAL_PATTERN = re.compile(r"\d{1,12}(\.\d{1,12})?")
-
 
 @dataclass(frozen=True)
 class ServerNotice:
@@ -93,7 +91,7 @@
 
 def _decimal(value: str) -> float:
     """Return a plain decimal number; raise ValueError for anything else."""
-    text = value.strip()
-    if not text.isascii() or not DECIMAL_PATTERN.fullmatch(text):
+    number = parse_decimal(value.strip())
+    if number is None:
         raise ValueError(value)
-    return float(text)
+    return number
--- a/src/snipecart/platform/calls.py
+++ b/src/snipecart/platform/calls.py
@@ -32,6 +32,7 @@
 from ..core.ids import InstanceId
 from ..core.ids import RegionName
 from ..core.ids import ZoneName
+from ..core.numbers import parse_count
 from ..core.registry import Registry
 from ..core.states import RoutingVerdict
 from ..messages.commands import PutRouting
@@ -179,11 +180,12 @@
     """Return the body of a call, or BadCall or BodyTooLarge."""
     length = environ.get("CONTENT_LENGTH") or "0"
     chunked = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "")
-    if not length.isdecimal():
-        return Error(BadCall("Content-Length is not a number"))
-    if int(length) > MAX_BODY_BYTES:
+    size = parse_count(length)
+    if size is None:
+        return Error(BadCall("Content-Length is not a valid number"))
+    if size > MAX_BODY_BYTES:
         return Error(BodyTooLarge())
-    max_read = MAX_BODY_BYTES + 1 if chunked else int(length)
+    max_read = MAX_BODY_BYTES + 1 if chunked else size
     body = environ["wsgi.input"].read(max_read) if max_read else b""
     if not chunked and len(body) < max_read:
         return Error(BadCall("body is shorter than Content-Length"))
--- a/src/snipecart/program/pages.py
+++ b/src/snipecart/program/pages.py
@@ -9,6 +9,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 from prometheus_client import generate_latest
 
+from ..core.numbers import parse_count
 from .answers import HTTP_STATUS
 from .answers import JSON_CONTENT_TYPE
 from .answers import describe_failure
@@ -33,9 +34,12 @@
 def read_body(max_bytes: int) -> bytes:
     """Return at most ``max_bytes + 1`` bytes of the current request's body.
 
-    The extra byte shows the caller that the body exceeds the limit.
+    The extra byte shows the caller that the body exceeds the limit. Answer a malformed
+    length with status 400.
     """
-    length = int(cherrypy.request.headers.get("Content-Length") or 0)
+    length = parse_count(cherrypy.request.headers.get("Content-Length") or "0")
+    if length is None:
+        raise cherrypy.HTTPError(400)
     return cherrypy.request.rfile.read(min(length, max_bytes + 1))
 
 
--- a/src/snipecart/upstream/answers.py
+++ b/src/snipecart/upstream/answers.py
@@ -14,6 +14,7 @@
 from ..core.failures import AnswerMalformed
 from ..core.failures import AnswerNotOwn
 from ..core.failures import AnswerTooLarge
+from ..core.numbers import parse_count
 from .headers import Pairs
 from .headers import end_to_end
 from .reader import AnswerRejected
@@ -149,9 +150,7 @@
     codings = raw.headers.get_all("Transfer-Encoding", [])
     if codings and (lengths or not raw.chunked):
         raise AnswerRejected(AnswerMalformed("Transfer-Encoding"))
-    if len(lengths) > 1 or not all(
-        value.isascii() and value.isdecimal() for value in lengths
-    ):
+    if len(lengths) > 1 or any(parse_count(value) is None for value in lengths):
         raise AnswerRejected(AnswerMalformed("Content-Length"))
 
 
@@ -162,6 +161,7 @@
     keep_alive = raw.getheader("Keep-Alive", "")
     _, found, rest = keep_alive.partition("timeout=")
     seconds = rest.split(",")[0].strip()
-    if found and seconds.isdecimal():
-        return max(0.0, int(seconds) - IDLE_MARGIN_SECONDS)
-    return DEFAULT_IDLE_SECONDS
+    timeout = parse_count(seconds) if found else None
+    if timeout is None:
+        return DEFAULT_IDLE_SECONDS
+    return max(0.0, timeout - IDLE_MARGIN_SECONDS)
