Read long answers in turns, and decode chunks into one buffer

Answers of tiny chunks took many times the memory reserved for them.

Cause, two faults of one reader. The HTTP library decodes chunk by chunk and collects them in a list: 600,000 bytes in chunks of two bytes took 12.7 MB for 0.7 MB reserved, 18 times. And each thread that reads such an answer needs the interpreter's lock for milliseconds at a time, between two looks at its deadline; with dozens of them the threads that accept, place and answer requests got it too seldom.

Beyond 16 KB, pieces of an answer are received and decoded by two threads at a time; a turn is taken once bytes have arrived, waits no longer than the deadline, and lasts for 16 KB. Heads with their interim answers have 512 lines at most. No body is copied at its end.

Weighed: a limit of chunks an answer may have (costs sound answers, and chunks of 16 bytes pass it), a smaller limit of an answer (costs sound answers).

--- a/src/snipecart/gateway/body.py
+++ b/src/snipecart/gateway/body.py
@@ -18,6 +18,8 @@
 from expression import Ok
 from expression import Result
 
+from ..core.chunks import ChunkDecoder
+from ..core.chunks import ChunksMalformed
 from ..core.failures import BadCall
 from ..core.failures import BodyMemoryFull
 from ..core.failures import BodySlotsFull
@@ -37,14 +39,6 @@
 PIECE_BYTES = 65_536
 """Bytes of a body that are read at once."""
 
-MAX_LINE_BYTES = 8_192
-"""Limit of a line that states a chunk's size, and of a trailer line."""
-
-MAX_TRAILER_LINES = 64
-
-CRLF = b"\r\n"
-HEX_DIGITS = frozenset(b"0123456789abcdefABCDEF")
-
 
 @dataclass(frozen=True)
 class BodyFraming:
@@ -117,20 +111,18 @@
         self._wait()
         return self._stream.raw.read(size)
 
-    def read_line(self) -> bytes:
-        """Return a line without its CRLF, which must end it."""
-        line = bytearray()
-        while not line.endswith(b"\n") and len(line) < MAX_LINE_BYTES:
-            if not self._stream.has_data():
-                self._wait()
-            buffered = self._stream.peek(1)
-            if not buffered:
-                break
-            end = buffered.find(b"\n") + 1 or len(buffered)
-            line += self._stream.read1(min(end, MAX_LINE_BYTES - len(line)))
-        if not line.endswith(CRLF):
-            raise _BodyFailed(BadCall("line of a chunked body is malformed"))
-        return bytes(line[: -len(CRLF)])
+    def peek(self) -> bytes:
+        """Return the buffered bytes, or those of one receive call, and keep them.
+
+        The result is empty if the client closes the connection.
+        """
+        if not self._stream.has_data():
+            self._wait()
+        return self._stream.peek(1)
+
+    def skip(self, size: int) -> None:
+        """Drop the first bytes of those that ``peek`` returned."""
+        self._stream.read1(size)
 
     def _wait(self) -> None:
         """Wait for bytes, in one of the slots unless they have already arrived."""
@@ -191,18 +183,14 @@
 
 
 def _read_chunks(stream: BodyStream) -> Iterator[bytes]:
-    while size := _read_chunk_size(stream):
-        yield from _read_exactly(stream, size)
-        if stream.read_line():
-            raise _BodyFailed(BadCall("chunk does not end with a line break"))
-    for _ in range(MAX_TRAILER_LINES):
-        if not stream.read_line():
-            return
-    raise _BodyFailed(BadCall("too many trailer lines"))
-
-
-def _read_chunk_size(stream: BodyStream) -> int:
-    digits = stream.read_line().partition(b";")[0].strip()
-    if not digits or not HEX_DIGITS.issuperset(digits):
-        raise _BodyFailed(BadCall("chunk size is malformed"))
-    return int(digits, 16)
+    decoder = ChunkDecoder()
+    while not decoder.done:
+        piece, data = stream.peek(), BytesIO()
+        if not piece:
+            raise _BodyFailed(BadCall("body is cut short"))
+        try:
+            used = decoder.feed(piece, data)
+        except ChunksMalformed as exc:
+            raise _BodyFailed(BadCall(str(exc))) from exc
+        stream.skip(used)
+        yield data.getvalue()
--- a/src/snipecart/upstream/answers.py
+++ b/src/snipecart/upstream/answers.py
@@ -15,6 +15,7 @@
 from ..core.failures import AnswerNotOwn
 from ..core.failures import AnswerTooLarge
 from ..core.numbers import parse_count
+from .bodies import read_body
 from .headers import Pairs
 from .headers import end_to_end
 from .reader import AnswerRejected
@@ -137,7 +138,7 @@
         raise AnswerRejected(AnswerMalformed("no length"))
     if raw.length is not None and raw.length > limits.body_bytes:
         raise AnswerRejected(AnswerTooLarge(f"{raw.length} bytes"))
-    return raw.read()
+    return read_body(raw, conn.sock.reader)
 
 
 def _check_head(raw: http.client.HTTPResponse) -> None:
--- /dev/null
+++ b/src/snipecart/upstream/bodies.py
@@ -0,0 +1,59 @@
+"""Read the bodies of answers into memory that they take once."""
+
+from __future__ import annotations
+
+from io import BytesIO
+from typing import TYPE_CHECKING
+
+from ..core.chunks import ChunkDecoder
+from .reader import CutShort
+
+if TYPE_CHECKING:
+    import http.client
+
+    from .reader import KeepAliveReader
+
+
+def read_body(raw: http.client.HTTPResponse, reader: KeepAliveReader) -> bytes:
+    """Return the body of an answer whose head was read, and close the answer.
+
+    The body is written to one buffer piece by piece: a list of its chunks would take
+    many times the bytes received. Raise CutShort or ChunksMalformed.
+    """
+    body = BytesIO()
+    if raw.chunked:
+        _read_chunks(reader, body)
+    elif raw.length is not None:
+        _read_length(reader, body, raw.length)
+    else:
+        _read_to_close(reader, body)
+    raw.close()
+    return body.getvalue()
+
+
+def _read_chunks(reader: KeepAliveReader, body: BytesIO) -> None:
+    decoder = ChunkDecoder()
+    while not decoder.done:
+        with reader.next_piece() as piece:
+            if not piece:
+                raise CutShort
+            used = decoder.feed(piece, body)
+            reader.put_back(piece[used:])
+
+
+def _read_length(reader: KeepAliveReader, body: BytesIO, size: int) -> None:
+    while size:
+        with reader.next_piece() as piece:
+            if not piece:
+                raise CutShort
+            body.write(piece[:size])
+            reader.put_back(piece[size:])
+            size -= min(size, len(piece))
+
+
+def _read_to_close(reader: KeepAliveReader, body: BytesIO) -> None:
+    while True:
+        with reader.next_piece() as piece:
+            if not piece:
+                return
+            body.write(piece)
--- a/src/snipecart/upstream/reader.py
+++ b/src/snipecart/upstream/reader.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 import io
+import select
+from contextlib import contextmanager
+from contextlib import nullcontext
 from dataclasses import dataclass
+from dataclasses import field
+from threading import Semaphore
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -13,16 +18,31 @@
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import Iterator
+    from contextlib import AbstractContextManager
 
     from ..core.failures import Failure
     from ..core.ids import Instant
     from ..core.memory import MemoryReservation
 
-RECEIVE_SIZE = 65_536
+RECEIVE_SIZE = 16_384
+
+BULK_BYTES = 16_384
+"""Bytes of an exchange from which the rest of its answer is read in turns."""
+
+MAX_BULK_READERS = 2
+"""Threads that receive and decode such rests at the same time.
+
+They need the interpreter's lock all the while; with many of them, the threads of all
+other requests would get it too seldom.
+"""
+
+MAX_HEAD_LINES = 512
+"""Lines of a head and of the interim answers before it."""
 
 
 class CutShort(ConnectionError):
-    """Report a connection that ended within the head of an answer."""
+    """Report a connection that ended within an answer."""
 
 
 class AnswerRejected(ValueError):
@@ -33,6 +53,11 @@
         self.failure = failure
 
 
+def make_bulk_readers() -> Semaphore:
+    """Return the turns to read the rests of long answers."""
+    return Semaphore(MAX_BULK_READERS)
+
+
 @dataclass
 class ReadLimits:
     """Limit the time and the bytes of one exchange, whatever the peer sends."""
@@ -43,6 +68,23 @@
     """Bytes of heads that may still be read, those of interim answers included."""
     body_bytes: int
     reservation: MemoryReservation
+    bulk_readers: Semaphore = field(default_factory=make_bulk_readers)
+    """Turns to read the rest of a long answer."""
+    head_lines: int = MAX_HEAD_LINES
+    """Lines of heads that may still be read."""
+
+    @contextmanager
+    def taking_turn(self) -> Iterator[None]:
+        """Wait for a turn, and give it back when the block ends.
+
+        Raise TimeoutError if none is free until the deadline.
+        """
+        if not self.bulk_readers.acquire(timeout=self.seconds_left()):
+            raise TimeoutError
+        try:
+            yield
+        finally:
+            self.bulk_readers.release()
 
     def seconds_left(self) -> float:
         """Return the seconds until the deadline; raise TimeoutError once it passed."""
@@ -52,9 +94,10 @@
         return seconds
 
     def count_head(self, size: int) -> None:
-        """Count the bytes of a line of a head."""
+        """Count a line of a head and its bytes."""
         self.head_bytes -= size
-        if self.head_bytes < 0:
+        self.head_lines -= 1
+        if self.head_bytes < 0 or self.head_lines < 0:
             raise AnswerRejected(AnswerTooLarge("head"))
 
     def count_received(self, size: int) -> None:
@@ -73,11 +116,19 @@
     """Bytes of its head and of the interim answers before it."""
     body_bytes: int = 32_000_000
     """Bytes of the answer as received."""
+    bulk_readers: Semaphore = field(default_factory=make_bulk_readers)
+    """Turns to read the rest of a long answer, shared by all exchanges."""
 
     def start(self, deadline: Instant, reservation: MemoryReservation) -> ReadLimits:
         """Return the limits of one exchange, which reserves its own memory."""
         reservation.clear()
-        return ReadLimits(deadline, self.head_bytes, self.body_bytes, reservation)
+        return ReadLimits(
+            deadline,
+            self.head_bytes,
+            self.body_bytes,
+            reservation,
+            self.bulk_readers,
+        )
 
 
 class KeepAliveReader(io.BufferedIOBase):
@@ -112,6 +163,37 @@
         """Return True, as the stream is readable."""
         return True
 
+    @contextmanager
+    def next_piece(self) -> Iterator[bytes]:
+        """Yield the next bytes of a body, to be decoded within the block.
+
+        They are empty once the peer has closed the connection.
+        """
+        if self._buffer:
+            yield self._consume(len(self._buffer))
+            return
+        with self._turn():
+            self._receive()
+            yield self._consume(len(self._buffer))
+
+    def _turn(self) -> AbstractContextManager[None]:
+        """Return the turn that the next bytes of a long answer need.
+
+        It is taken once they have arrived, so that a slow peer holds none.
+        """
+        limits = self._limits
+        if limits is None or limits.reservation.reserved < BULK_BYTES:
+            return nullcontext()
+        poll = select.poll()
+        poll.register(self._sock.fileno(), select.POLLIN)
+        if not poll.poll(limits.seconds_left() * 1000):
+            raise TimeoutError
+        return limits.taking_turn()
+
+    def put_back(self, data: bytes) -> None:
+        """Return the bytes of the last piece that don't belong to its answer."""
+        self._buffer[:0] = data
+
     def _receive(self) -> bool:
         limits = self._limits
         if limits is not None:
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 import itertools
+import threading
 import time
+import tracemalloc
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
 
 import pytest
 
@@ -16,6 +20,7 @@
 from snipecart.core.states import SendOutcome
 from snipecart.gateway.backends import BackendClient
 from snipecart.gateway.metrics import ANSWER_BYTES
+from snipecart.upstream.reader import MAX_BULK_READERS
 from snipecart.upstream.reader import AnswerLimits
 from tests.upstream.scripted import CLOSE
 from tests.upstream.scripted import scripted_server
@@ -177,3 +182,76 @@
         assert send(server, backends=backends).end is SendOutcome.REJECTED
         assert send(server, backends=backends).end is SendOutcome.ANSWERED
         assert server.connections == 2
+
+
+def test_an_answer_of_tiny_chunks_takes_the_memory_that_is_reserved_for_it():
+    # A list of the chunks took many times the bytes received.
+    routed = make_routed(seconds=30.0)
+    body = chunk(b"xy") * 300_000
+    with scripted_server([CHUNKED + body, b"0\r\n\r\n"]) as server:
+        tracemalloc.start()
+        result = send(server, routed, BackendClient("127.0.0.1", NAMES))
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+    assert len(result.answer.body) == 600_000
+    assert peak < routed.req.answer_memory.reserved
+
+
+def test_long_answers_are_read_by_few_threads_at_a_time():
+    # Dozens of threads that decode chunks kept all others from running.
+    limits = AnswerLimits(body_bytes=10_000_000)
+    backends = BackendClient("127.0.0.1", NAMES, limits)
+    most, readers, lock, active = [], 8, threading.Lock(), 0
+
+    class CountedTurns:
+        """Count the threads that have a turn."""
+
+        def acquire(self, timeout):
+            nonlocal active
+            taken = turns.acquire(timeout=timeout)
+            with lock:
+                active += taken
+                most.append(active)
+            return taken
+
+        def release(self):
+            nonlocal active
+            with lock:
+                active -= 1
+            turns.release()
+
+    turns = limits.bulk_readers
+    object.__setattr__(limits, "bulk_readers", CountedTurns())
+    with ExitStack() as stack:
+        servers = [
+            stack.enter_context(
+                scripted_server(quickly(CHUNKED, chunk(b"x" * 16) * 900))
+            )
+            for _ in range(readers)
+        ]
+        with ThreadPoolExecutor(readers) as pool:
+            results = list(
+                pool.map(
+                    lambda server: send(server, make_routed(SECONDS), backends), servers
+                )
+            )
+    assert all(result.answer is None for result in results)
+    assert len(most) > readers and max(most) <= MAX_BULK_READERS
+
+
+def test_an_answer_that_waits_for_its_turn_ends_at_its_deadline():
+    limits = AnswerLimits()
+    backends = BackendClient("127.0.0.1", NAMES, limits)
+    for _ in range(MAX_BULK_READERS):
+        limits.bulk_readers.acquire()
+    with scripted_server([answer()], [answer(b"x" * 200_000)]) as server:
+        assert send(server, backends=backends).end is SendOutcome.ANSWERED
+        result = send(server, make_routed(seconds=SECONDS), backends)
+    assert result.end is SendOutcome.TIMED_OUT
+    assert result.seconds < SECONDS + 0.1
+
+
+def test_a_head_of_endless_short_lines_is_given_up():
+    with scripted_server(quickly(b"", CONTINUE)) as server:
+        result = send(server, backends=BackendClient("127.0.0.1", NAMES))
+    assert isinstance(result.failure, AnswerTooLarge)
