Replace the settings file of a test in one step

Its log shows why: the process read the file between the truncation and the write (1010, KeyError 'ip'), refused it and kept its settings, and took the next content half a second later. The test then took that refusal for the one of its malformed text, wrote the original at once, and the malformed text was never read. The product did as it should; the test wrote the file in two steps. It now renames a whole file over it, and checks as much as before.

--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -280,10 +280,17 @@
     assert answer_text.splitlines()[0].endswith(server)
 
 
+def replace_text(path, text):
+    """Replace a file in one step, so that no reader finds it empty."""
+    fresh = path.with_suffix(".fresh")
+    fresh.write_text(text)
+    fresh.replace(path)
+
+
 def test_a_settings_file_that_changes_without_a_signal_is_reloaded(fleet):
     path = fleet.folder / "entry-1.toml"
     original = path.read_text()
-    path.write_text(original.replace("budget_slack=58", "budget_slack=77"))
+    replace_text(path, original.replace("budget_slack=58", "budget_slack=77"))
 
     def changes():
         lines = [line for line in fleet.log("entry-1") if line["event"] == 1012]
@@ -293,9 +300,9 @@
     line = changes()[0]
     assert line["in_force"]
     assert "58" in line["old"] and "77" in line["new"]
-    path.write_text(original + "\nport = [broken")
+    replace_text(path, original + "\nport = [broken")
     wait_for(lambda: any(line["event"] == 1010 for line in fleet.log("entry-1")), 5.0)
-    path.write_text(original)
+    replace_text(path, original)
     wait_for(lambda: len(changes()) == 2, 5.0)
     wait_for(
         lambda: (
