Read the bodies of calls within limits of time, threads and memory

Cause: control processes left the bodies of calls to the HTTP library. It reads what an application leaves of a body before it answers, however long that is (a Content-Length of 10^11 was read on into memory), and waits anew for each piece: a body that comes slowly held one of 16 threads for good, on the address that takes heartbeats, departures and changes. The same server has the look-ups, the readiness check and the metrics pages. Each call could hold 8 MB, without a limit on their sum.

Change: HeadFirstWsgiServer reads the body before the application runs, by the reader that gateways have (moved to program/body.py): a limit for each body (none for look-ups, readiness and metrics, 64 KB for what servers send), a deadline of 5 s from the head, half of the threads for bodies on their way, and one memory for all of four times the largest body. What is refused is answered at once (413, or 503 where another process may take it), and the rest is discarded as at gateways. CherryPy's servers refuse bodies over 64 MB.

BodyFraming has None for no limit, as 0 now means that there is no body; tests of it state None where they had 0, and moved with it.

--- a/src/snipecart/gateway/factory.py
+++ b/src/snipecart/gateway/factory.py
@@ -17,6 +17,7 @@
 from ..core.task import monotonic
 from ..core.task import running
 from ..messages.discovery import Gateway
+from ..program.body import BodySlots
 from ..program.listener import HttpListener
 from ..upstream.reader import AnswerLimits
 from .backends import BackendClient
@@ -26,7 +27,6 @@
 from .balancing.state import Locality
 from .balancing.task import BalancerTask
 from .balancing.task import SetBudgetRule
-from .body import BodySlots
 from .metrics import ANSWER_BYTES
 from .metrics import BODY_BYTES
 from .pipeline import GatewayContext
--- a/src/snipecart/gateway/server.py
+++ b/src/snipecart/gateway/server.py
@@ -40,14 +40,14 @@
 from ..program.answers import JSON_CONTENT_TYPE
 from ..program.answers import describe_failure
 from ..program.answers import to_json
+from ..program.body import BodyFraming
+from ..program.body import BodySlots
+from ..program.body import BodyStream
+from ..program.body import read_body
 from ..program.http import make_http_server
 from ..program.http import running_server
 from ..program.overdue import OverdueTask
 from ..upstream.headers import end_to_end
-from .body import BodyFraming
-from .body import BodySlots
-from .body import BodyStream
-from .body import read_body
 from .metrics import REFUSALS
 from .metrics import REQUEST_SECONDS
 from .metrics import REQUESTS
@@ -218,7 +218,8 @@
         size = parse_count(length)
         if size is None:
             return Error(BadCall("Content-Length is not a valid number"))
-        framing = BodyFraming(size, raw.chunked_read, raw.server.max_request_body_size)
+        max_bytes = raw.server.max_request_body_size or None
+        framing = BodyFraming(size, raw.chunked_read, max_bytes)
         # cheroot would read what its own wrapper of the stream has not seen.
         raw.rfile = raw.conn.rfile
         with raw.server.ctx.body_slots.waiting() as slot:
--- a/src/snipecart/platform/__main__.py
+++ b/src/snipecart/platform/__main__.py
@@ -128,7 +128,7 @@
     from ..control.factory import control_tasks
     from ..control.factory import initial_voters
     from ..control.inspect import control_pages
-    from .calls import ControlCalls
+    from . import calls
 
     if cfg.founding and cfg.vm in {peer.vm for peer in cfg.peers}:
         bootstrap_log_if_blank(cfg.data, cfg.vm, initial_voters(cfg))
@@ -136,9 +136,9 @@
         if tasks.is_error():
             click.echo(f"log refused: {tasks.error.detail}", err=True)
             sys.exit(EXIT_FAILED)
-        app = ControlCalls(platform, tasks.ok)
+        app = calls.ControlCalls(platform, tasks.ok)
         with (
-            _serving(platform, "control", CONTROL_THREADS, app),
+            _serving(platform, "control", CONTROL_THREADS, app, calls.MAX_BODY_BYTES),
             _serving(platform, "directory", LOOKUP_THREADS, app),
             _inspection(platform, control_pages(tasks.ok)),
         ):
@@ -149,10 +149,16 @@
 
 @contextmanager
 def _serving(
-    platform: PlatformSettings, name: str, threads: int, app: Any
+    platform: PlatformSettings,
+    name: str,
+    threads: int,
+    app: Any,
+    max_body_bytes: int = 0,
 ) -> Iterator[None]:
     address = platform.address(name)
-    listener = HttpListener(address.host, address.port, threads)
+    listener = HttpListener(
+        address.host, address.port, threads, max_body_bytes, names.SMALL_BODY_PREFIXES
+    )
     with running_server(make_wsgi_server(listener, app)):
         yield
 
--- a/src/snipecart/platform/calls.py
+++ b/src/snipecart/platform/calls.py
@@ -22,7 +22,6 @@
 from ..core.events import ROUTING_REFUSED
 from ..core.events import emit
 from ..core.failures import BadCall
-from ..core.failures import BodyTooLarge
 from ..core.failures import Busy
 from ..core.failures import Failure
 from ..core.failures import NoQuorum
@@ -32,7 +31,6 @@
 from ..core.ids import InstanceId
 from ..core.ids import RegionName
 from ..core.ids import ZoneName
-from ..core.numbers import parse_count
 from ..core.registry import Registry
 from ..core.states import RoutingVerdict
 from ..messages.commands import PutRouting
@@ -104,8 +102,7 @@
         if call is None:
             return _respond(start_response, 404, b"{}", [])
         query = environ.get("QUERY_STRING", "")
-        body = _read_body(environ)
-        result = body.bind(lambda data: call(self, CallInput(name, query, data)))
+        result = call(self, CallInput(name, query, environ["wsgi.input"].read()))
         if result.is_ok():
             return _respond(start_response, 200, result.ok, [])
         return self._refuse(start_response, path, result.error)
@@ -176,22 +173,6 @@
     return None, ""
 
 
-def _read_body(environ: dict[str, Any]) -> Result[bytes, Failure]:
-    """Return the body of a call, or BadCall or BodyTooLarge."""
-    length = environ.get("CONTENT_LENGTH") or "0"
-    chunked = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "")
-    size = parse_count(length)
-    if size is None:
-        return Error(BadCall("Content-Length is not a valid number"))
-    if size > MAX_BODY_BYTES:
-        return Error(BodyTooLarge())
-    max_read = MAX_BODY_BYTES + 1 if chunked else size
-    body = environ["wsgi.input"].read(max_read) if max_read else b""
-    if not chunked and len(body) < max_read:
-        return Error(BadCall("body is shorter than Content-Length"))
-    return Ok(body) if len(body) <= MAX_BODY_BYTES else Error(BodyTooLarge())
-
-
 def _respond(
     start_response: Any, status: int, body: bytes, headers: list[tuple[str, str]]
 ) -> list[bytes]:
--- a/src/snipecart/platform/names.py
+++ b/src/snipecart/platform/names.py
@@ -31,3 +31,6 @@
 
 DRAINING = "draining"
 STATES = frozenset({"ready", DRAINING})
+
+SMALL_BODY_PREFIXES = (HEARTBEAT, DEREGISTER)
+"""Beginnings of the paths of the calls that backend servers send."""
--- a/src/snipecart/gateway/body.py
+++ b/src/snipecart/program/body.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import select
+import sys
 import threading
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -47,8 +48,8 @@
     length: int
     """Value of ``Content-Length``; not used for a chunked body."""
     chunked: bool
-    max_bytes: int
-    """Limit of the body; 0 for none."""
+    max_bytes: int | None
+    """Limit of the body; None for no limit."""
 
 
 class _BodyFailed(Exception):
@@ -146,8 +147,9 @@
     BodyTooSlow at the deadline, with BodySlotsFull if the body has not arrived and too
     many others are waited for, and with BadCall if it is malformed or cut short.
     """
+    max_bytes = sys.maxsize if framing.max_bytes is None else framing.max_bytes
     if not framing.chunked:
-        if framing.max_bytes and framing.length > framing.max_bytes:
+        if framing.length > max_bytes:
             return Error(BodyTooLarge(f"{framing.length} bytes"))
         if framing.length > reservation.budget.free:
             return Error(_memory_full(framing.length, reservation.budget))
@@ -159,8 +161,8 @@
             else _read_exactly(stream, framing.length)
         )
         for piece in pieces:
-            if framing.max_bytes and body.tell() + len(piece) > framing.max_bytes:
-                return Error(BodyTooLarge(f"over {framing.max_bytes} bytes"))
+            if body.tell() + len(piece) > max_bytes:
+                return Error(BodyTooLarge(f"over {max_bytes} bytes"))
             if not reservation.grow(len(piece)):
                 return Error(_memory_full(len(piece), reservation.budget))
             body.write(piece)
--- a/src/snipecart/program/http.py
+++ b/src/snipecart/program/http.py
@@ -7,15 +7,13 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from cheroot.wsgi import Gateway_10
-from cheroot.wsgi import Server as WsgiServer
-
 from ..core.events import SERVER_ERROR
 from ..core.events import TASK_FAILED
 from ..core.events import emit
 from ..core.task import ANY_TASK_FAILED
 from .server import HeadFirstServer
 from .threads import ElasticThreadPool
+from .wsgi import HeadFirstWsgiServer
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -39,10 +37,6 @@
 """Seconds that requests in progress have to finish when a server stops."""
 
 
-class HeadFirstWsgiServer(HeadFirstServer, WsgiServer):
-    """Serve a WSGI application to requests whose heads are complete."""
-
-
 def make_http_server(listener: HttpListener, gateway: type[Any]) -> HeadFirstServer:
     """Return a server that passes each request to a subclass of cheroot's gateway."""
     server = HeadFirstServer((listener.host, listener.port), gateway)
@@ -52,8 +46,7 @@
 
 def make_wsgi_server(listener: HttpListener, app: WsgiApp) -> HeadFirstWsgiServer:
     """Return a server of a WSGI application."""
-    server = HeadFirstWsgiServer((listener.host, listener.port), app)
-    server.gateway = Gateway_10
+    server = HeadFirstWsgiServer(listener, app)
     _configure(server, listener)
     return server
 
--- a/src/snipecart/program/listener.py
+++ b/src/snipecart/program/listener.py
@@ -16,3 +16,7 @@
     host: str
     port: int
     threads: int
+    max_body_bytes: int = 0
+    """Limit of a request's body; 0 if requests have none."""
+    small_body_prefixes: tuple[str, ...] = ()
+    """Paths whose requests have small bodies begin with one of these."""
--- a/src/snipecart/program/web.py
+++ b/src/snipecart/program/web.py
@@ -16,6 +16,12 @@
     from .listener import HttpListener
     from .listener import WsgiApp
 
+MAX_BODY_BYTES = 64 * 1024 * 1024
+"""Bytes of a body above which a request is refused unread.
+
+No setting allows a larger body. The library reads what pages leave of a smaller one.
+"""
+
 ACCEPT_TIMEOUT = 0.01
 """Seconds that a new connection waits for room in a listener's queue."""
 
@@ -37,7 +43,7 @@
     server.accepted_queue_timeout = ACCEPT_TIMEOUT
     server.socket_timeout = IDLE_TIMEOUT
     server.shutdown_timeout = SHUTDOWN_TIMEOUT
-    server.max_request_body_size = 0
+    server.max_request_body_size = MAX_BODY_BYTES
     return server
 
 
--- a/tests/gateway/test_route_timeout.py
+++ b/tests/gateway/test_route_timeout.py
@@ -19,7 +19,6 @@
 from snipecart.gateway.balancing.state import Locality
 from snipecart.gateway.balancing.state import apply_instance
 from snipecart.gateway.balancing.task import BalancerTask
-from snipecart.gateway.body import BodySlots
 from snipecart.gateway.metrics import ANSWER_BYTES
 from snipecart.gateway.metrics import BODY_BYTES
 from snipecart.gateway.pipeline import GatewayContext
@@ -28,6 +27,7 @@
 from snipecart.gateway.server import RequestContext
 from snipecart.gateway.server import serving_requests
 from snipecart.gateway.watch import WatchTask
+from snipecart.program.body import BodySlots
 from snipecart.program.listener import HttpListener
 
 from .world import REGIONS
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -19,7 +19,6 @@
 from snipecart.gateway import server as server_module
 from snipecart.gateway.balancing.routes import RouteIndex
 from snipecart.gateway.balancing.task import View
-from snipecart.gateway.body import BodySlots
 from snipecart.gateway.metrics import ANSWER_BYTES
 from snipecart.gateway.metrics import BODY_BYTES
 from snipecart.gateway.request import AnsweredRequest
@@ -28,6 +27,7 @@
 from snipecart.gateway.server import RequestContext
 from snipecart.gateway.server import serving_requests
 from snipecart.gateway.watch import WatchTask
+from snipecart.program.body import BodySlots
 from snipecart.program.listener import HttpListener
 from snipecart.upstream.answers import HttpAnswer
 from tests.gateway.world import Gateway
--- a/tests/gateway/test_body.py
+++ b/tests/program/test_body.py
@@ -14,11 +14,11 @@
 from snipecart.core.memory import MemoryBudget
 from snipecart.core.memory import reserving
 from snipecart.core.task import monotonic
-from snipecart.gateway.body import BodyFraming
-from snipecart.gateway.body import BodySlots
-from snipecart.gateway.body import BodyStream
-from snipecart.gateway.body import read_body
 from snipecart.gateway.metrics import BODY_BYTES
+from snipecart.program.body import BodyFraming
+from snipecart.program.body import BodySlots
+from snipecart.program.body import BodyStream
+from snipecart.program.body import read_body
 
 ONE_SLOT = BodySlots(1)
 
--- a/tests/gateway/test_body_streams.py
+++ b/tests/program/test_body_streams.py
@@ -16,10 +16,10 @@
 from snipecart.core.memory import MemoryBudget
 from snipecart.core.memory import reserving
 from snipecart.core.task import monotonic
-from snipecart.gateway.body import BodyFraming
-from snipecart.gateway.body import BodySlots
-from snipecart.gateway.body import BodyStream
-from snipecart.gateway.body import read_body
+from snipecart.program.body import BodyFraming
+from snipecart.program.body import BodySlots
+from snipecart.program.body import BodyStream
+from snipecart.program.body import read_body
 
 BODY = b"the body of a request"
 NEXT = b"GET /next HTTP/1.1\r\n"
@@ -52,12 +52,12 @@
 def framed(draw):
     """Return a stream with a body and how its length is known."""
     if draw(st.booleans()):
-        return BODY, BodyFraming(len(BODY), False, 0)
+        return BODY, BodyFraming(len(BODY), False, None)
     at = draw(st.integers(1, len(BODY) - 1))
     chunks = b"".join(
         b"%x\r\n%s\r\n" % (len(part), part) for part in (BODY[:at], BODY[at:])
     )
-    return chunks + b"0\r\n\r\n", BodyFraming(0, True, 0)
+    return chunks + b"0\r\n\r\n", BodyFraming(0, True, None)
 
 
 @st.composite
--- a/tests/program/test_server.py
+++ b/tests/program/test_server.py
@@ -32,9 +32,10 @@
 
 
 @contextmanager
-def server(**attributes):
+def server(max_body_bytes=1_000_000, small_body_prefixes=(), **attributes):
     """Run a server of a few threads."""
-    http_server = make_wsgi_server(HttpListener(HOST, PORT, THREADS), app)
+    listener = HttpListener(HOST, PORT, THREADS, max_body_bytes, small_body_prefixes)
+    http_server = make_wsgi_server(listener, app)
     for name, value in attributes.items():
         setattr(http_server, name, value)
     with running_server(http_server):
