Limit the time and the memory of frames from peers

Cause: a frame of a peer had a limit of its own size (64 MB) and no other. A peer that sent its bytes now and then held a thread and the frame for good, and the frames of all connections together had no limit. Same class as bodies without end.

The number of connections is not limited yet.

--- a/src/snipecart/wire/links.py
+++ b/src/snipecart/wire/links.py
@@ -14,12 +14,14 @@
 from ..core.events import PEER_MESSAGE_REJECTED
 from ..core.events import emit
 from ..core.ids import Instant
+from ..core.memory import MemoryBudget
 from ..core.task import Task
 from ..core.task import monotonic
 from .codec import Envelope
 from .codec import decode
 from .codec import encode
-from .frames import FrameTooLarge
+from .frames import FRAME_MEMORY_BYTES
+from .frames import FrameRefused
 from .frames import configure_socket
 from .frames import connect
 from .frames import open_listener
@@ -29,6 +31,9 @@
 RECONNECT_INTERVAL = 0.2
 """Seconds between two attempts to connect."""
 
+FRAME_MEMORY = MemoryBudget(FRAME_MEMORY_BYTES)
+"""Memory for the large frames that this process receives."""
+
 LINK_MAILBOX_SIZE = 2048
 """Maximum number of messages that wait to be sent on a connection."""
 
@@ -85,14 +90,14 @@
 ) -> None:
     """Deliver each message until the connection ends or a message is invalid."""
     try:
-        for frame in receive_frames(sock):
+        for frame in receive_frames(sock, FRAME_MEMORY):
             envelope = decode(frame)
             if envelope.is_error():
                 emit(PEER_MESSAGE_REJECTED, peer=peer, detail=envelope.error.detail)
                 return
             deliver(envelope.ok)
-    except FrameTooLarge as exc:
-        emit(PEER_MESSAGE_REJECTED, peer=peer, detail=f"frame too large: {exc} bytes")
+    except FrameRefused as exc:
+        emit(PEER_MESSAGE_REJECTED, peer=peer, detail=str(exc))
     except (OSError, ValueError):
         return
 
