Compact the log by its bytes, and bound what is sent and kept of large entries

Cause: the log was compacted by its number of entries alone, 2,000 and 512 kept, and each change holds the manifest twice. A start reads the file and decodes all of it. Besides, 2,048 encoded entries were kept whatever their size, and a process that had missed some got 256 of them in one message, over the limit of a frame from 250 KB each.

--- a/src/snipecart/control/effects.py
+++ b/src/snipecart/control/effects.py
@@ -11,6 +11,7 @@
 from ..core.events import VOTERS_CHANGED
 from ..core.events import emit
 from ..core.failures import NotLeader
+from ..core.message import payload_size
 from ..core.registry import Registry
 from ..core.states import Role
 from .leader import LeaderState
@@ -55,6 +56,7 @@
     """Apply committed entries and answer their proposers."""
     for entry in effect.entries:
         answer = apply_entry(node.machine, entry)
+        node.applied_bytes += payload_size(entry.command)
         node.update_accepted()
         reply = node.pending_replies.pop(entry.index, None)
         if reply is not None:
--- a/src/snipecart/control/node.py
+++ b/src/snipecart/control/node.py
@@ -18,6 +18,7 @@
 from ..core.ids import Instant
 from ..core.ids import LogIndex
 from ..core.ids import NodeId
+from ..core.message import payload_size
 from ..core.states import Role
 from ..core.task import Task
 from ..messages.commands import Node
@@ -54,7 +55,10 @@
 """Id that addresses a message to all other control processes."""
 
 SNAPSHOT_ENTRIES = 2000
-"""Committed entries between two snapshots."""
+"""Committed entries between two snapshots at most."""
+
+SNAPSHOT_BYTES = 8_000_000
+"""Bytes of committed entries between two snapshots, after which the next one is due."""
 
 TICK_INTERVAL = 0.02
 """Minimum seconds between two ticks."""
@@ -104,6 +108,12 @@
         self._tick_due = Instant(0.0)
         self._join_due = Instant(0.0)
         self.snapshot_index = state.snapshot.index if state.snapshot else LogIndex(0)
+        self.applied_bytes = sum(
+            payload_size(entry.command)
+            for entry in state.log.entries
+            if entry.index > self.snapshot_index
+        )
+        """Bytes of the entries since the last snapshot."""
 
     def next_wait(self, now: Instant) -> float:
         """Return the seconds until the next Raft timer or tick is due."""
@@ -234,10 +244,11 @@
         self.outputs.send(ALL_NODES, JoinRequest(self.own_node))
 
     def _compact(self, now: Instant) -> None:
-        """Store a snapshot after every SNAPSHOT_ENTRIES committed entries."""
-        if self.state.commit < self.snapshot_index + SNAPSHOT_ENTRIES:
+        """Store a snapshot after SNAPSHOT_ENTRIES or SNAPSHOT_BYTES."""
+        few = self.state.commit < self.snapshot_index + SNAPSHOT_ENTRIES
+        if few and self.applied_bytes < SNAPSHOT_BYTES:
             return
-        self.snapshot_index = self.state.commit
+        self.snapshot_index, self.applied_bytes = self.state.commit, 0
         data = dump_state(self.machine)
         self.run(step(self.state, Compact(data, self.state.commit), now), now)
         emit(SNAPSHOT_TAKEN, index=self.state.commit, size=len(data))
--- a/src/snipecart/control/raft/log.py
+++ b/src/snipecart/control/raft/log.py
@@ -4,14 +4,22 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from itertools import accumulate
 from typing import TYPE_CHECKING
 
 from ...core.ids import LogIndex
+from ...core.message import payload_size
 
 if TYPE_CHECKING:
     from ...messages.commands import Entry
 
 
+def _count_fitting(entries: list[Entry], max_bytes: int) -> int:
+    """Return how many of the first entries have at most ``max_bytes`` together."""
+    sizes = accumulate(payload_size(entry.command) for entry in entries)
+    return sum(size <= max_bytes for size in sizes)
+
+
 class LogGap(Exception):
     """Report an entry whose index does not follow the last index of the log."""
 
@@ -45,10 +53,23 @@
             return self.entries[index - self.base - 1].term
         return None
 
-    def after(self, index: int, limit: int) -> tuple[Entry, ...]:
-        """Return at most ``limit`` entries that follow an index."""
+    def after(self, index: int, limit: int, max_bytes: int) -> tuple[Entry, ...]:
+        """Return at most ``limit`` entries that follow an index.
+
+        All but the first one must fit into ``max_bytes``.
+        """
         start = index - self.base
-        return tuple(self.entries[start : start + limit])
+        entries = self.entries[start : start + limit]
+        return tuple(entries[: max(1, _count_fitting(entries, max_bytes))])
+
+    def compact(self, index: int, max_entries: int, max_bytes: int) -> None:
+        """Discard the entries up to an index but for the last of them.
+
+        Keep at most ``max_entries``, of at most ``max_bytes`` together.
+        """
+        end = index - self.base
+        last_first = self.entries[max(0, end - max_entries) : end][::-1]
+        self.discard_up_to(index - _count_fitting(last_first, max_bytes))
 
     def entries_between(self, first: int, last: int) -> tuple[Entry, ...]:
         """Return the entries from ``first`` to ``last``, both included."""
--- a/src/snipecart/control/raft/replication.py
+++ b/src/snipecart/control/raft/replication.py
@@ -41,12 +41,18 @@
 MAX_APPEND_ENTRIES = 256
 """Maximum number of entries in one append request."""
 
+MAX_APPEND_BYTES = 1_000_000
+"""Bytes of entries in one append request, unless a single one has more."""
+
 TRAILING_ENTRIES = 512
-"""Entries before a snapshot that stay in the log.
+"""Entries before a snapshot that stay in the log at most.
 
 Followers that lag by fewer need no snapshot.
 """
 
+TRAILING_BYTES = 4_000_000
+"""Bytes of the entries before a snapshot that stay in the log at most."""
+
 COMMIT_PERSIST_INTERVAL = 0.2
 """Seconds between two batches for the disk that contain only a newer commit index."""
 
@@ -132,7 +138,7 @@
     previous_term = state.log.term_at(previous)
     if previous_term is None:
         return _send_snapshot(state, node, peer, now)
-    entries = state.log.after(previous, MAX_APPEND_ENTRIES)
+    entries = state.log.after(previous, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES)
     peer.next_index = LogIndex(peer.next_index + len(entries))
     return [
         Send(
@@ -422,7 +428,7 @@
         req.index, term, membership.voters, membership.learners, req.state
     )
     state.snapshot = snapshot
-    state.log.discard_up_to(req.index - TRAILING_ENTRIES)
+    state.log.compact(req.index, TRAILING_ENTRIES, TRAILING_BYTES)
     later = [other for other in state.memberships if other.index > membership.index]
     state.memberships = [membership, *later]
     entries = tuple(state.log.entries)
--- a/src/snipecart/core/message.py
+++ b/src/snipecart/core/message.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import fields
+from dataclasses import is_dataclass
 from typing import TYPE_CHECKING
 from typing import Annotated
 from typing import Any
@@ -59,6 +61,17 @@
 """Message of any type, encoded within another one."""
 
 
+def payload_size(value: Any) -> int:
+    """Return the bytes of all texts and data in a message, without its encoding."""
+    if isinstance(value, bytes | str):
+        return len(value)
+    if isinstance(value, tuple):
+        return sum(payload_size(item) for item in value)
+    if is_dataclass(value):
+        return sum(payload_size(getattr(value, item.name)) for item in fields(value))
+    return 0
+
+
 def wire_name(cls: type[Any]) -> str:
     """Return a message type's name on the wire."""
     return cls.__name__[0].lower() + cls.__name__[1:]
--- a/src/snipecart/wire/codec.py
+++ b/src/snipecart/wire/codec.py
@@ -18,6 +18,7 @@
 from ..core.failures import PeerMessageInvalid
 from ..core.message import MESSAGES
 from ..core.message import NESTED_CODECS
+from ..core.message import payload_size
 from ..core.message import record
 from ..core.message import wire_name
 
@@ -29,6 +30,9 @@
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 """Maximum size of an encoded message."""
 
+MAX_CACHED_BYTES = 4_096
+"""Size of the texts and data of a nested message up to which its encoding is kept."""
+
 WORD_BYTES = 8
 """Size of a Cap'n Proto word; an encoded message is a multiple of it."""
 
@@ -55,9 +59,18 @@
 
 
 @NESTED_CODECS.register("dump")
-@lru_cache(maxsize=2048)
 def encode_nested(message: Any) -> bytes:
-    """Return an encoded message for use as a field of another one."""
+    """Return an encoded message for use as a field of another one.
+
+    Small ones are kept for the next receiver; the large ones would fill the memory.
+    """
+    if payload_size(message) > MAX_CACHED_BYTES:
+        return encode(message)
+    return _encode_small(message)
+
+
+@lru_cache(maxsize=2048)
+def _encode_small(message: Any) -> bytes:
     return encode(message)
 
 
