--- a/src/snipecart/control/factory.py
+++ b/src/snipecart/control/factory.py
@@ -97,7 +97,14 @@
 
 
 def _restore_log(recovered: RecoveredState) -> Log:
+    """Return the log on disk, or an empty one that follows the snapshot.
+
+    The entries on disk may end before the snapshot if the process ended while it
+    installed it.
+    """
     snapshot, entries = recovered.snapshot, recovered.entries
+    if snapshot is not None and entries and entries[-1].index < snapshot.index:
+        entries = []
     if snapshot is None:
         log = Log()
     elif entries and entries[0].index <= snapshot.index:
--- a/tests/control/test_restart.py
+++ b/tests/control/test_restart.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+from snipecart.control.disk.records import encode_record
+from snipecart.control.disk.records import replace_file
+from snipecart.control.disk.store import SNAPSHOT_FILE
 from snipecart.control.disk.store import Store
 from snipecart.control.disk.store import bootstrap_log
 from snipecart.control.disk.store import recover
 from snipecart.control.factory import restore_machine
 from snipecart.control.factory import restore_raft_state
 from snipecart.control.machine.state import dump_state
+from snipecart.control.raft.state import step
 from snipecart.messages.commands import Entry
 from snipecart.messages.commands import Node
 from snipecart.messages.commands import PutRouting
+from snipecart.messages.raft import AppendRequest
 from snipecart.messages.raft import DiskBatch
 from snipecart.messages.raft import DiskSnapshot
 
@@ -74,3 +79,19 @@
         cluster.start(vm)
         assert cluster.processes[vm].machine.version == version
     cluster.check_settled()
+
+
+def test_a_log_that_ends_before_its_snapshot_takes_entries_again(tmp_path):
+    # A process ended between the two files of a snapshot that it installed.
+    bootstrap_log(tmp_path, "a", FOUNDERS)
+    store = Store(tmp_path)
+    store.write(DiskBatch(1, "a", 0, (put_routing(2),), 2))
+    store.close()
+    snapshot = DiskSnapshot(9, 1, FOUNDERS, (), dump_state(restart(tmp_path)[1]))
+    replace_file(tmp_path / SNAPSHOT_FILE, encode_record(snapshot))
+    state, _ = restart(tmp_path)
+    assert (state.commit, state.log.last_index) == (9, 9)
+    now = state.last_leader_contact
+    append = AppendRequest(1, "b/founder", 9, 1, (put_routing(10),), 10, 0)
+    step(state, append, now)
+    assert (state.commit, state.log.last_index) == (10, 10)
