Open a link again to a member that returns at its address

Cause: Links dropped the link of a VM that had left the members but kept its address, and opened a link for a new address only.

--- a/src/snipecart/control/factory.py
+++ b/src/snipecart/control/factory.py
@@ -142,6 +142,7 @@
         wanted.pop(self._cfg.vm, None)
         for vm in set(self._links) - set(wanted):
             self._links.pop(vm).stop(0.0)
+            del self._nodes[vm]
         for vm, node in wanted.items():
             before = self._nodes.get(vm)
             if before is None or (before.host, before.port) != (node.host, node.port):
