Forget first sends outside the window of the retry budget as they are recorded

Cause: the times of first sends were removed only when a retry asked for the budget: 32 bytes a request for a service that needs none, for as long as the gateway runs. The new test failed before: 10,000 times were kept where the window holds 100.

--- a/src/snipecart/gateway/balancing/budget.py
+++ b/src/snipecart/gateway/balancing/budget.py
@@ -39,17 +39,22 @@
 
     def record_first(self, now: Instant) -> None:
         """Count a first send."""
+        self._remove_expired(now)
         self.first_sends.append(now)
 
     def try_acquire(self, gateways: int, now: Instant) -> bool:
         """Count a retry; return False where the budget allows none."""
-        since = now - self.rule.window
-        for times in (self.first_sends, self.retries):
-            while times and times[0] < since:
-                times.popleft()
+        self._remove_expired(now)
         allowed = self.rule.ratio * len(self.first_sends)
         allowed += self.rule.slack / max(1, gateways)
         if len(self.retries) + 1 > allowed * BUDGET_USE_FACTOR:
             return False
         self.retries.append(now)
         return True
+
+    def _remove_expired(self, now: Instant) -> None:
+        """Remove the sends that are no longer in the window."""
+        since = now - self.rule.window
+        for times in (self.first_sends, self.retries):
+            while times and times[0] < since:
+                times.popleft()
--- a/tests/gateway/test_retry.py
+++ b/tests/gateway/test_retry.py
@@ -46,3 +46,10 @@
             firsts += 1
             repeats += budget.try_acquire(7, now)
     assert 0 < repeats <= 0.2 * firsts + 56
+
+
+def test_first_sends_of_a_service_without_retries_take_bounded_memory():
+    budget = RetryBudget(BudgetRule(window=10.0))
+    for step in range(10_000):
+        budget.record_first(100.0 + step * 0.1)
+    assert len(budget.first_sends) <= 102
