Know a zone that is added to the settings without a restart

Cause: the calls of the platform took the zones as of the start, while the rest of the settings is reloaded: heartbeats from a new zone and its evacuation were refused until a restart. Gateways still take their list of regions as of the start, which orders regions and excludes none.

--- a/src/snipecart/platform/__main__.py
+++ b/src/snipecart/platform/__main__.py
@@ -31,6 +31,7 @@
 
     from ..gateway.factory import GatewayTasks
     from ..program.inspect import Page
+    from ..program.settings import ControlSettings
     from .settings import PlatformSettings
 
 CONTROL_THREADS = 16
@@ -142,9 +143,12 @@
             _serving(platform, "directory", LOOKUP_THREADS, app),
             _inspection(platform, control_pages(tasks.ok)),
         ):
-            yield _make_reloader(
-                control_settings, cfg, LIVE_CONTROL_SETTINGS, tasks.ok.update_seeds
-            )
+
+            def apply(settings: ControlSettings) -> None:
+                tasks.ok.update_seeds(settings)
+                app.reload_settings()
+
+            yield _make_reloader(control_settings, cfg, LIVE_CONTROL_SETTINGS, apply)
 
 
 @contextmanager
--- a/src/snipecart/platform/calls.py
+++ b/src/snipecart/platform/calls.py
@@ -46,6 +46,7 @@
 from .heartbeats import decode_deregistration
 from .heartbeats import decode_heartbeat
 from .manifest import decode_manifest
+from .settings import load_platform_settings
 
 if TYPE_CHECKING:
     from ..control.factory import ControlTasks
@@ -95,6 +96,12 @@
         self.platform, self.tasks = platform, tasks
         self.control_port = platform.address("control").port
 
+    def reload_settings(self) -> None:
+        """Use the availability zones in the settings file, unless it is malformed."""
+        loaded = load_platform_settings()
+        if loaded.is_ok():
+            self.platform = loaded.ok
+
     def __call__(self, environ: dict[str, Any], start_response: Any) -> list[bytes]:
         """Answer one call; unknown paths get 404."""
         path = environ.get("PATH_INFO", "")
