Let no unnamed service take the address of a server with routes

Cause: a heartbeat of another writer, with a service that the routing table doesn't name, took the address of a sound server, which was out of use until its next heartbeat, or for longer with a later start time.

Change: such a heartbeat is outdated where a server of a named service has the address. An unnamed service at a free address is stored as before, so that servers may come before their routes. The new test failed before for the unnamed service.

--- a/src/snipecart/control/discovery/handlers.py
+++ b/src/snipecart/control/discovery/handlers.py
@@ -19,6 +19,7 @@
 from ...messages.discovery import RoutingChanged
 from ...messages.discovery import SyncAnswer
 from ...messages.discovery import SyncRequest
+from ...text.routing import list_services
 from .gateways import CONFIRMATION_TIMEOUT
 from .gateways import UnconfirmedUpdate
 from .table import SILENCE_TIMEOUT
@@ -130,6 +131,8 @@
     """
     before, task.committed_state = task.committed_state, committed_state
     _apply_departures(task, committed_state, now)
+    if committed_state.routing_version != before.routing_version:
+        task.instances.named_services = list_services(committed_state.routing)
     versions = (committed_state.routing_version, committed_state.evacuation_index)
     if versions == (before.routing_version, before.evacuation_index):
         return
--- a/src/snipecart/control/discovery/table.py
+++ b/src/snipecart/control/discovery/table.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from ...core.ids import ServiceName
     from ...messages.discovery import Instance
     from ...messages.discovery import RepeatedHeartbeat
 
@@ -95,6 +96,8 @@
     tombstones: dict[InstanceId, Tombstone] = field(default_factory=dict)
     instance_by_endpoint: dict[EndpointId, InstanceId] = field(default_factory=dict)
     """The latest instance at each address."""
+    named_services: frozenset[ServiceName] = frozenset()
+    """Services in the routing table."""
     revision: int = 0
     compacted_revision: int = 0
     """Highest revision of a removed tombstone; older readers need all instances."""
@@ -205,7 +208,9 @@
     def _is_stale(self, received: Instance) -> bool:
         """Return whether a later heartbeat is stored.
 
-        It may be of the same instance, or of a later one at the same address.
+        It may be of the same instance, or of a later one at the same address. An
+        instance of a service without routes never takes the address of one with routes:
+        its heartbeat may come from another writer.
         """
         latest = self._latest(received.instance)
         if latest is not None and _is_older(received, latest):
@@ -215,8 +220,13 @@
         )
         if current is None or current.instance.instance == received.instance:
             return False
+        if self._is_named(current.instance) and not self._is_named(received):
+            return True
         return 0 < received.born < current.instance.born
 
+    def _is_named(self, instance: Instance) -> bool:
+        return instance.service in self.named_services
+
     def _is_late_heartbeat(self, received: Instance, now: Instant) -> bool:
         """Return whether a heartbeat is of an instance that left before it was stored.
 
--- a/src/snipecart/text/routing.py
+++ b/src/snipecart/text/routing.py
@@ -128,6 +128,14 @@
     return check_routing(document.ok)
 
 
+def list_services(data: bytes) -> frozenset[ServiceName]:
+    """Return the services in a routing table as JSON; none if it is malformed."""
+    parsed = parse_routing(data)
+    if parsed.is_error():
+        return frozenset()
+    return frozenset(service.name for service in parsed.ok.services)
+
+
 def dump_routing(routing: Routing) -> bytes:
     """Return the routing table as JSON."""
     return routing.model_dump_json().encode()
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -31,8 +31,11 @@
 from snipecart.messages.discovery import InstanceSeen
 from snipecart.messages.discovery import RepeatedHeartbeat
 from snipecart.messages.discovery import SyncRequest
+from snipecart.text.routing import dump_routing
 from snipecart.wire.links import IncomingMessage
 from tests.gateway.world import make_instance
+from tests.gateway.world import make_route
+from tests.gateway.world import make_routing
 
 FIRST = make_instance(1, born=1000, sequence=1)
 NEWS, REPEATED, STALE = UpdateVerdict.NEWS, UpdateVerdict.REPEATED, UpdateVerdict.STALE
@@ -646,3 +649,21 @@
         control.receive_gossip(now, "c2")
         answer = control.send_sync_answer("g1", now)
         assert bool(answer.lease_start) == (now > 50.0 + RATE_LEASE_DURATION)
+
+
+@pytest.mark.parametrize("service", ["racks", "unnamed"])
+def test_an_unnamed_service_takes_no_address_of_a_named_one(service):
+    control = TaskDriver()
+    control.receive_gossip(50.0, "c2")
+    routing = dump_routing(make_routing(make_route(service="racks")))
+    control.task.handle(
+        [replace(control.committed_state, routing_version=1, routing=routing)], 50.0
+    )
+    control.send_update(FIRST, 50.1)
+    other = replace(make_instance(2), endpoint=FIRST.endpoint, service=service)
+    control.send_update(other, 50.2)
+    expected = FIRST if service == "unnamed" else other
+    assert list(control.task.instances.live) == [expected.instance]
+    unnamed = make_instance(3, service="unnamed")
+    control.send_update(unnamed, 50.3)
+    assert unnamed.instance in control.task.instances.live
