Bound the memory of all answers that an entry process reads

Cause: the entry process limited each answer (16 MB) but not their sum, while the gateway has a budget for it; same class as bodies without end. Change: four of the largest answers fit, what exceeds it counts as broken, as an answer over its own limit does. The new test needs the budget.

--- a/src/snipecart/entry/backend.py
+++ b/src/snipecart/entry/backend.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ..core.ids import CallId
 from ..core.ids import EndpointId
 from ..core.ids import Instant
-from ..core.memory import unlimited_reservation
+from ..core.memory import MemoryBudget
+from ..core.memory import reserving
 from ..core.numbers import parse_decimal
 from ..core.states import DispatchOutcome
 from ..core.task import monotonic
@@ -24,12 +26,14 @@
 from .metrics import DISPATCHES
 
 if TYPE_CHECKING:
-    from ..upstream.reader import ReadLimits
     from .call import ResolvedCall
 
 ANSWER_LIMITS = AnswerLimits(body_bytes=16 * 1024 * 1024)
 """Limits of an answer; a larger one counts as broken."""
 
+ANSWER_MEMORY_BYTES = 4 * ANSWER_LIMITS.body_bytes
+"""Memory for the answers that are being read; one that exceeds it counts as broken."""
+
 CANCEL_TIMEOUT_SECONDS = 1.0
 """Time for which the answer to a cancellation is waited for."""
 
@@ -67,6 +71,7 @@
     def __init__(self, source_host: str) -> None:
         self._source_host = source_host
         self._connections = ConnectionPool()
+        self.answer_memory = MemoryBudget(ANSWER_MEMORY_BYTES)
 
     def dispatch(
         self, call: ResolvedCall, endpoint: EndpointId, timeout: float
@@ -95,16 +100,15 @@
         conn = self._connect(endpoint, CANCEL_TIMEOUT_SECONDS)
         if conn is None:
             return
-        try:
+        deadline = Instant(monotonic() + CANCEL_TIMEOUT_SECONDS)
+        with reserving(self.answer_memory) as reservation, suppress(*EXCHANGE_ERRORS):
             self._connections.exchange(
                 endpoint,
                 conn,
                 BackendRequest("DELETE", f"/calls/{call_id}", (), b""),
                 ExpectedAnswer("DELETE", call_id, CALL_HEADER, success_needs_id=False),
-                _make_limits(Instant(monotonic() + CANCEL_TIMEOUT_SECONDS)),
+                ANSWER_LIMITS.start(deadline, reservation),
             )
-        except EXCHANGE_ERRORS:
-            return
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -162,13 +166,9 @@
             success_needs_id=False,
             may_end_with_close=False,
         )
-        return self._connections.exchange(
-            endpoint, conn, req, expected, _make_limits(deadline)
-        )
-
-
-def _make_limits(deadline: Instant) -> ReadLimits:
-    return ANSWER_LIMITS.start(deadline, unlimited_reservation())
+        with reserving(self.answer_memory) as reservation:
+            limits = ANSWER_LIMITS.start(deadline, reservation)
+            return self._connections.exchange(endpoint, conn, req, expected, limits)
 
 
 def _classify_answer(answer: HttpAnswer) -> DispatchOutcome:
--- a/tests/entry/test_backend.py
+++ b/tests/entry/test_backend.py
@@ -112,3 +112,15 @@
         assert dispatch(server, client).end is DispatchOutcome.SHED
         assert dispatch(server, client).end is DispatchOutcome.ANSWERED
         assert server.connections == 2
+
+
+def test_answers_share_the_memory_of_the_process():
+    client = BackendClient("127.0.0.1")
+    answer = OWN + b"Content-Length: 200000\r\n\r\n" + b"x" * 200_000
+    with scripted_server([answer], [answer]) as server:
+        free = client.answer_memory.free
+        assert client.answer_memory.try_reserve(free - 100_000)
+        assert dispatch(server, client).end is DispatchOutcome.BROKEN
+        client.answer_memory.release(free - 100_000)
+        assert dispatch(server, client).end is DispatchOutcome.ANSWERED
+        assert client.answer_memory.free == free
