--- a/src/snipecart/wire/links.py
+++ b/src/snipecart/wire/links.py
@@ -31,6 +31,9 @@
 RECONNECT_INTERVAL = 0.2
 """Seconds between two attempts to connect."""
 
+MAX_CONNECTIONS = 2_048
+"""Connections that a listener serves at the same time; each has two threads."""
+
 FRAME_MEMORY = MemoryBudget(FRAME_MEMORY_BYTES)
 """Memory for the large frames that this process receives."""
 
@@ -137,16 +140,20 @@
                 conn, address = self._sock.accept()
             except OSError:
                 return
-            configure_socket(conn)
             peer = f"{address[0]}:{address[1]}"
+            if len(self._writers) >= MAX_CONNECTIONS:
+                emit(PEER_MESSAGE_REJECTED, peer=peer, detail="too many connections")
+                conn.close()
+                continue
+            configure_socket(conn)
+            writer = Writer(conn, f"writer {peer}")
+            self._writers.add(writer)
             threading.Thread(
-                target=self._serve, args=(conn, peer), name=peer, daemon=True
+                target=self._serve, args=(conn, peer, writer), name=peer, daemon=True
             ).start()
 
-    def _serve(self, conn: socket.socket, peer: str) -> None:
+    def _serve(self, conn: socket.socket, peer: str, writer: Writer) -> None:
         """Read the messages of one connection, and answer on the same connection."""
-        writer = Writer(conn, f"writer {peer}")
-        self._writers.add(writer)
         writer.start()
 
         def deliver(envelope: Envelope) -> None:
