Reuse the list of departures while none was recorded

The node published its state after each applied entry, with a new list of all recorded departures each time: a pass over some thousand of them at the size to come, for every entry. It is the same tuple now until one is recorded.

--- a/src/snipecart/control/node.py
+++ b/src/snipecart/control/node.py
@@ -48,6 +48,7 @@
     from collections.abc import Callable
 
     from ..text.model import Text
+    from .machine.state import RecordedDeparture
 
 __all__ = ["NodeTask", "NodeOutputs", "raft"]
 
@@ -185,7 +186,7 @@
             self.state.voters,
             (*members.voters, *members.learners),
             members.index,
-            tuple(machine.departures.values()),
+            self._list_departures(),
             self.state.caught_up,
         )
         if committed_state == before:
@@ -200,6 +201,14 @@
                 EVACUATION_CHANGED, index=committed_state.evacuation_index, zones=zones
             )
 
+    def _list_departures(self) -> tuple[RecordedDeparture, ...]:
+        """Return the recorded departures; the same tuple while none was recorded."""
+        recorded, before = self.machine.departures, self.committed_state.departures
+        newest = next(reversed(recorded.values()), None)
+        if before and before[-1] is newest and len(before) == len(recorded):
+            return before
+        return tuple(recorded.values())
+
     def refuse_pending(self, failure: Failure) -> None:
         """Answer all pending proposals with a failure."""
         for reply in self.pending_replies.values():
