--- a/src/snipecart/control/raft/__init__.py
+++ b/src/snipecart/control/raft/__init__.py
@@ -5,5 +5,6 @@
 from . import election
 from . import membership
 from . import replication
+from . import snapshots
 
-__all__ = ["election", "membership", "replication"]
+__all__ = ["election", "membership", "replication", "snapshots"]
--- a/src/snipecart/control/raft/replication.py
+++ b/src/snipecart/control/raft/replication.py
@@ -12,27 +12,24 @@
 from ...messages.commands import Node
 from ...messages.raft import AppendAnswer
 from ...messages.raft import AppendRequest
-from ...messages.raft import DiskSnapshot
-from ...messages.raft import SnapshotRequest
 from . import timing
 from .election import become_follower
 from .election import count_own_vote
 from .election import start_pre_vote
-from .log import Log
+from .following import accept_leader
+from .following import make_append_answer
 from .membership import maintain_voters
+from .snapshots import send_snapshot
 from .state import HANDLERS
 from .state import Apply
-from .state import Compact
 from .state import Effect
 from .state import Flush
 from .state import Membership
 from .state import MembershipChange
 from .state import Persist
-from .state import PersistSnapshot
 from .state import Progress
 from .state import Propose
 from .state import RaftState
-from .state import Restore
 from .state import Send
 from .state import SendAfterSync
 from .state import SyncCompletion
@@ -44,21 +41,9 @@
 MAX_APPEND_BYTES = 1_000_000
 """Bytes of entries in one append request, unless a single one has more."""
 
-TRAILING_ENTRIES = 512
-"""Entries before a snapshot that stay in the log at most.
-
-Followers that lag by fewer need no snapshot.
-"""
-
-TRAILING_BYTES = 4_000_000
-"""Bytes of the entries before a snapshot that stay in the log at most."""
-
 COMMIT_PERSIST_INTERVAL = 0.2
 """Seconds between two batches for the disk that contain only a newer commit index."""
 
-SNAPSHOT_RETRY_INTERVAL = 2.0
-"""Seconds before a snapshot is sent to the same peer again."""
-
 
 class CommittedEntryLost(Exception):
     """Report an append request that conflicts with a committed entry."""
@@ -137,7 +122,7 @@
     previous = LogIndex(peer.next_index - 1)
     previous_term = state.log.term_at(previous)
     if previous_term is None:
-        return _send_snapshot(state, node, peer, now)
+        return send_snapshot(state, node, peer, now)
     entries = state.log.after(previous, MAX_APPEND_ENTRIES, MAX_APPEND_BYTES)
     peer.next_index = LogIndex(peer.next_index + len(entries))
     return [
@@ -156,31 +141,6 @@
     ]
 
 
-def _send_snapshot(
-    state: RaftState, node: Node, peer: Progress, now: Instant
-) -> list[Effect]:
-    """Send a peer the latest snapshot, at most once per SNAPSHOT_RETRY_INTERVAL."""
-    snapshot = state.snapshot
-    if snapshot is None or now < peer.snapshot_sent_at + SNAPSHOT_RETRY_INTERVAL:
-        return []
-    peer.snapshot_sent_at = now
-    return [
-        Send(
-            node.node,
-            SnapshotRequest(
-                state.term,
-                state.node_id,
-                snapshot.index,
-                snapshot.index_term,
-                snapshot.voters,
-                snapshot.learners,
-                snapshot.state,
-                int(now * 1e6),
-            ),
-        )
-    ]
-
-
 @HANDLERS.register(AppendRequest)
 def handle_append_request(
     state: RaftState, req: AppendRequest, now: Instant
@@ -193,9 +153,9 @@
     """
     if req.term < state.term:
         return [
-            Send(req.leader, _make_append_answer(state, req.sent, False, state.commit))
+            Send(req.leader, make_append_answer(state, req.sent, False, state.commit))
         ]
-    effects = _accept_leader(state, req.term, req.leader, now)
+    effects = accept_leader(state, req.term, req.leader, now)
     if state.disk is DiskState.BLOCKED:
         return effects
     previous = req.previous_index
@@ -203,11 +163,11 @@
         hint = LogIndex(state.log.last_index)
         return [
             *effects,
-            Send(req.leader, _make_append_answer(state, req.sent, False, hint)),
+            Send(req.leader, make_append_answer(state, req.sent, False, hint)),
         ]
     local_term = state.log.term_at(previous)
     if previous > state.log.base and local_term != req.previous_term:
-        answer = _make_append_answer(state, req.sent, False, state.commit)
+        answer = make_append_answer(state, req.sent, False, state.commit)
         return [*effects, Send(req.leader, answer)]
     effects += _store_entries(state, req.entries)
     matched = LogIndex(previous + len(req.entries))
@@ -216,26 +176,10 @@
         _check_caught_up(state)
     return [
         *effects,
-        SendAfterSync(req.leader, _make_append_answer(state, req.sent, True, matched)),
+        SendAfterSync(req.leader, make_append_answer(state, req.sent, True, matched)),
     ]
 
 
-def _accept_leader(
-    state: RaftState, term: int, leader: NodeId, now: Instant
-) -> list[Effect]:
-    """Follow the leader that sent a valid request, and restart the election timer."""
-    effects = become_follower(state, term, leader, now)
-    state.last_leader_contact = now
-    state.reset_election_timer(now)
-    return effects
-
-
-def _make_append_answer(
-    state: RaftState, sent: int, matched: bool, index: LogIndex
-) -> AppendAnswer:
-    return AppendAnswer(state.term, state.node_id, matched, index, sent)
-
-
 def _store_entries(state: RaftState, entries: tuple[Entry, ...]) -> list[Effect]:
     """Append the entries that the log lacks, after removing conflicting ones."""
     log = state.log
@@ -376,61 +320,3 @@
     if state.role is Role.LEADER:
         effects += _commit_quorum(state)
     return effects
-
-
-@HANDLERS.register(SnapshotRequest)
-def handle_snapshot_request(
-    state: RaftState, req: SnapshotRequest, now: Instant
-) -> list[Effect]:
-    """Replace the log and the applied state by the leader's snapshot.
-
-    A snapshot that is not newer than the committed entries changes nothing.
-    """
-    if req.term < state.term:
-        return [
-            Send(req.leader, _make_append_answer(state, req.sent, False, state.commit))
-        ]
-    effects = _accept_leader(state, req.term, req.leader, now)
-    if state.disk is DiskState.BLOCKED:
-        return effects
-    if req.index <= state.commit:
-        answer = _make_append_answer(state, req.sent, True, state.commit)
-        return [*effects, SendAfterSync(req.leader, answer)]
-    snapshot = DiskSnapshot(
-        req.index, req.index_term, req.voters, req.learners, req.state
-    )
-    state.snapshot = snapshot
-    state.log = Log(req.index, req.index_term)
-    state.memberships = [Membership(req.index, req.voters, req.learners)]
-    state.commit = req.index
-    state.synced_index = req.index
-    rest = state.make_batch()
-    return [
-        *effects,
-        PersistSnapshot(snapshot, rest),
-        Restore(snapshot),
-        MembershipChange(state.voters, state.learners),
-        SendAfterSync(
-            req.leader, _make_append_answer(state, req.sent, True, req.index)
-        ),
-    ]
-
-
-@HANDLERS.register(Compact)
-def handle_compact(state: RaftState, req: Compact, now: Instant) -> list[Effect]:
-    """Store a snapshot and discard all but the trailing entries before it."""
-    term = state.log.term_at(req.index)
-    if term is None or req.index > state.commit:
-        return []
-    earlier = [item for item in state.memberships if item.index <= req.index]
-    membership = earlier[-1] if earlier else Membership(LogIndex(0), (), ())
-    snapshot = DiskSnapshot(
-        req.index, term, membership.voters, membership.learners, req.state
-    )
-    state.snapshot = snapshot
-    state.log.compact(req.index, TRAILING_ENTRIES, TRAILING_BYTES)
-    later = [other for other in state.memberships if other.index > membership.index]
-    state.memberships = [membership, *later]
-    entries = tuple(state.log.entries)
-    rest = state.make_batch(entries)
-    return [PersistSnapshot(snapshot, rest)]
--- a/tests/control/test_compaction.py
+++ b/tests/control/test_compaction.py
@@ -11,7 +11,7 @@
 from snipecart.control.raft.log import Log
 from snipecart.control.raft.replication import MAX_APPEND_BYTES
 from snipecart.control.raft.replication import MAX_APPEND_ENTRIES
-from snipecart.control.raft.replication import TRAILING_BYTES
+from snipecart.control.raft.snapshots import TRAILING_BYTES
 from snipecart.control.raft.state import PersistSnapshot
 from snipecart.control.raft.state import SyncCompletion
 from snipecart.core.message import payload_size
