Count and log requests rejected for their bodies, and name malformed chunks

A request whose body a control, look-up, readiness or metrics address rejects left no trace: now 3404 with its path, and snipecart_http_rejected_bodies by reason. Malformed chunks of an answer end as answer_malformed, as other answers of unknown length do, instead of backend_broken.

--- a/src/snipecart/program/wsgi.py
+++ b/src/snipecart/program/wsgi.py
@@ -10,6 +10,8 @@
 from expression import Error
 from expression import Result
 
+from ..core.events import REQUEST_UNREAD
+from ..core.events import emit
 from ..core.failures import BadCall
 from ..core.failures import Failure
 from ..core.ids import Instant
@@ -24,6 +26,7 @@
 from .body import BodySlots
 from .body import BodyStream
 from .body import read_body
+from .metrics import REJECTED_BODIES
 from .server import HeadFirstServer
 
 if TYPE_CHECKING:
@@ -40,6 +43,9 @@
 BODIES_IN_MEMORY = 4
 """Bodies of the maximum size that fit in the memory for bodies."""
 
+MAX_LOGGED_CHARACTERS = 120
+"""Characters of a path in a log line."""
+
 THREADS_PER_BODY_SLOT = 2
 """Threads of a server for each that may wait for the rest of a body."""
 
@@ -101,6 +107,14 @@
     def _reject(self, failure: Failure) -> None:
         """Answer a request that was not read, and discard the rest of it."""
         raw = self.req
+        REJECTED_BODIES.labels(failure.reason).inc()
+        emit(
+            REQUEST_UNREAD,
+            request="",
+            path=self.env["PATH_INFO"][:MAX_LOGGED_CHARACTERS],
+            reason=failure.reason,
+            detail=failure.detail,
+        )
         body = to_json(describe_failure(failure))
         raw.status = f"{HTTP_STATUS[failure.category]} Refused".encode()
         raw.outheaders = [
--- a/src/snipecart/upstream/bodies.py
+++ b/src/snipecart/upstream/bodies.py
@@ -6,6 +6,9 @@
 from typing import TYPE_CHECKING
 
 from ..core.chunks import ChunkDecoder
+from ..core.chunks import ChunksMalformed
+from ..core.failures import AnswerMalformed
+from .reader import AnswerRejected
 from .reader import CutShort
 
 if TYPE_CHECKING:
@@ -18,7 +21,7 @@
     """Return the body of an answer whose head was read, and close the answer.
 
     The body is written to one buffer piece by piece: a list of its chunks would take
-    many times the bytes received. Raise CutShort or ChunksMalformed.
+    many times the bytes received. Raise CutShort or AnswerRejected.
     """
     body = BytesIO()
     if raw.chunked:
@@ -37,7 +40,10 @@
         with reader.next_piece() as piece:
             if not piece:
                 raise CutShort
-            used = decoder.feed(piece, body)
+            try:
+                used = decoder.feed(piece, body)
+            except ChunksMalformed as exc:
+                raise AnswerRejected(AnswerMalformed(str(exc))) from exc
             reader.put_back(piece[used:])
 
 
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -133,6 +133,8 @@
         b"Content-Length: 2x\r\n",
         b"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
         b"Transfer-Encoding: gzip\r\n",
+        b"Transfer-Encoding: chunked\r\n\r\n0x5\r\n",
+        b"Transfer-Encoding: chunked\r\n\r\n-5\r\n",
         b"no header\r\nContent-Length: 5\r\n",
     ],
 )
--- a/tests/program/test_endless_bodies.py
+++ b/tests/program/test_endless_bodies.py
@@ -11,6 +11,7 @@
 import pytest
 
 from snipecart.core.memory import MemoryBudget
+from snipecart.program.metrics import REJECTED_BODIES
 from snipecart.program.wsgi import SMALL_BODY_BYTES
 from tests.program.test_server import THREADS
 from tests.program.test_server import connect
@@ -48,10 +49,13 @@
 def test_a_body_over_the_limit_is_refused_at_once(head, limit):
     # The HTTP library read the whole body of a request before it answered.
     piece = TINY if head == CHUNKED else PIECE
+    rejected = REJECTED_BODIES.labels("body_too_large")._value
+    before = rejected.get()
     with server(max_body_bytes=limit), sending(head, piece) as sock:
         started_at = time.monotonic()
         assert b" 413 " in read_answer(sock)[:20]
         assert time.monotonic() < started_at + 2.0
+    assert rejected.get() == before + 1
 
 
 @pytest.mark.parametrize("head", [HUGE, CHUNKED])
--- a/tests/test_catalogues.py
+++ b/tests/test_catalogues.py
@@ -12,9 +12,10 @@
 from snipecart.core.message import MESSAGES
 from snipecart.entry import metrics as entry_metrics
 from snipecart.gateway import metrics as gateway_metrics
+from snipecart.program import metrics as program_metrics
 from snipecart.wire.codec import SCHEMA
 
-__all__ = ["control_metrics", "entry_metrics", "gateway_metrics"]
+__all__ = ["control_metrics", "entry_metrics", "gateway_metrics", "program_metrics"]
 
 
 def rows(page: str) -> list[list[str]]:
