Soak late heartbeats, bad load reports and answers without end

The short soak of seed 11 keeps the faults that it drew from, as more faults would change what a seed draws; a third short soak has the new ones. Conducts of the fault "misbehave" stay as they were.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -37,6 +37,10 @@
 LIMITED_SECONDS = 8.0
 PARTIAL_HEAD = b"GET /look/slow HTTP/1.1\r\nHost: shop.exam"
 
+NOT_MISCONDUCT = {Conduct.SOUND, Conduct.SPOILED, Conduct.ENDLESS}
+MISCONDUCT = tuple(item for item in Conduct if item not in NOT_MISCONDUCT)
+"""What a server may do in the fault "misbehave"."""
+
 Fault = Callable[["World", "Random"], None]
 
 FAULTS: Registry[str, Fault] = Registry("faults of a soak")
@@ -157,7 +161,10 @@
 @FAULTS.register("misbehave")
 def misbehave(world: World, rng: Random) -> None:
     """Let some servers misbehave for a while."""
-    conduct = rng.choice([item for item in Conduct if item is not Conduct.SOUND])
+    _let_behave(world, rng, rng.choice(MISCONDUCT))
+
+
+def _let_behave(world: World, rng: Random, conduct: Conduct) -> None:
     servers = rng.sample(world.servers, rng.randrange(1, len(world.servers)))
     for server in servers:
         server.conduct = conduct
@@ -166,6 +173,18 @@
         server.conduct = Conduct.SOUND
 
 
+@FAULTS.register("spoil load reports")
+def spoil_load_reports(world: World, rng: Random) -> None:
+    """Let some servers report numbers of many digits for a while."""
+    _let_behave(world, rng, Conduct.SPOILED)
+
+
+@FAULTS.register("answer without end")
+def answer_without_end(world: World, rng: Random) -> None:
+    """Let some servers answer without end for a while."""
+    _let_behave(world, rng, Conduct.ENDLESS)
+
+
 @FAULTS.register("disturb links")
 def disturb_links(world: World, rng: Random) -> None:
     """Delay, reset, cut one way or silence the links to some servers."""
@@ -184,6 +203,12 @@
     world.replace_server(rng)
 
 
+@FAULTS.register("deliver a heartbeat late")
+def deliver_late(world: World, rng: Random) -> None:
+    """Replace a server, whose last heartbeat arrives after it has left."""
+    world.replace_server(rng, late=True)
+
+
 @FAULTS.register("say in answers that a server leaves")
 def leave_by_answers(world: World, rng: Random) -> None:
     """Let a server say in its answers that it leaves, and end it later."""
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -24,6 +24,7 @@
 USUAL_SECONDS = 0.03
 SLOW_SECONDS = 0.7
 SILENT_SECONDS = 6.0
+SMALL_CHUNKS = b"10\r\n0123456789abcdef\r\n" * 1000
 PAUSE_SECONDS = 1.5
 
 
@@ -46,6 +47,10 @@
     """It runs requests and answers with 500."""
     PAUSING = "pausing"
     """It refuses requests and asks for a pause."""
+    SPOILED = "spoiled"
+    """Its load reports have numbers of many digits."""
+    ENDLESS = "endless"
+    """It answers with small chunks without end."""
 
 
 def sign(request: str, server: str, body: bytes) -> str:
@@ -158,6 +163,9 @@
                 server.limit,
             )
         )
+        if conduct is Conduct.ENDLESS:
+            self._write_chunks()
+            return
         notices = self._notices()
         time.sleep(SLOW_SECONDS if conduct is Conduct.SLOW else USUAL_SECONDS)
         if conduct is Conduct.SILENT:
@@ -190,9 +198,23 @@
         gateway = self.client_address[0]
         server.recorder.post(Pause(server.name, gateway, at, Seconds(PAUSE_SECONDS)))
 
+    def _write_chunks(self) -> None:
+        """Write chunks until the gateway closes the connection, or for a while."""
+        head = self._head(200, b"").replace(
+            b"Content-Length: 0", b"Transfer-Encoding: chunked"
+        )
+        self.close_connection = True
+        end = time.monotonic() + SILENT_SECONDS
+        with suppress(OSError):
+            self.connection.sendall(head)
+            while time.monotonic() < end:
+                self.connection.sendall(SMALL_CHUNKS)
+
     def _notices(self) -> list[tuple[str, str]]:
         """Return the headers by which the server asks gateways for something."""
         server, notices = self.soak_server, []
+        if server.conduct is Conduct.SPOILED:
+            notices.append(("Server-Load", f"{'9' * 400},0,{SLOTS}"))
         if server.says_leaving:
             notices.append(("Server-Leaving", "1"))
         if server.limit:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,19 +2,32 @@
 
 from __future__ import annotations
 
+from .run import ALL_FAULTS
 from .run import soak
 
 SECONDS = 20.0
 SEED = 11
 
+LATER_FAULTS = ("spoil load reports", "answer without end", "deliver a heartbeat late")
+"""Faults that seed 11 did not draw from when it failed."""
+
+EARLIER_FAULTS = tuple(name for name in ALL_FAULTS if name not in LATER_FAULTS)
+
 
 def test_a_short_soak_finds_no_violation(tmp_path):
-    report = soak(SEED, SECONDS, tmp_path)
+    report = soak(SEED, SECONDS, tmp_path, faults=EARLIER_FAULTS)
     assert report.passed, "\n".join(report.lines())
     assert report.runs > 0
     assert report.changes > 0
 
 
+def test_late_heartbeats_bad_reports_and_endless_answers_break_no_promise(tmp_path):
+    faults = (*LATER_FAULTS, "kill all control processes", "kill a gateway")
+    report = soak(13, SECONDS, tmp_path, faults=faults)
+    assert report.passed, "\n".join(report.lines())
+    assert any(report.faults[name] for name in LATER_FAULTS)
+
+
 def test_connections_that_send_nothing_hold_no_requests_of_a_gateway(tmp_path):
     """Seeds 11 and 12 failed by this: the HTTP server's own thread was blocked."""
     report = soak(12, SECONDS, tmp_path, faults=["silent clients"])
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -46,6 +46,9 @@
 DRAIN_TIME = 2.5
 """Time for which a leaving server still serves after the acknowledgement."""
 
+LATE_SECONDS = 3.0
+"""Longest delay of a late heartbeat, and for how long its server serves on."""
+
 SAYS_LEAVING_SECONDS = 4.0
 """Time for which a server says only in its answers that it leaves."""
 
@@ -96,16 +99,20 @@
                 return True
         return False
 
-    def replace_server(self, rng: Random, *, by_answers: bool = False) -> None:
+    def replace_server(
+        self, rng: Random, *, by_answers: bool = False, late: bool = False
+    ) -> None:
         """Add a server, let another one of its service leave, and end that one.
 
-        It says so in its heartbeats, or at first ``by_answers`` only.
+        It says so in its heartbeats, or at first ``by_answers`` only. With ``late``, a
+        heartbeat from before arrives after it has left, and it serves on for a while.
         """
         with self._lock:
             staying = [
                 item for item in self.servers if not (item.leaving or item.says_leaving)
             ]
             leaving = rng.choice(staying)
+            earlier = json.dumps(leaving.describe()).encode()
             leaving.says_leaving = by_answers
             leaving.leaving = not by_answers
         self.add_server(leaving.service)
@@ -120,6 +127,10 @@
         time.sleep(DRAIN_TIME)
         self._call(names.DEREGISTER + leaving.name, b"")
         self.servers.remove(leaving)
+        if late:
+            time.sleep(LATE_SECONDS * rng.random())
+            self._call(names.HEARTBEAT + leaving.name, earlier)
+            time.sleep(LATE_SECONDS)
         leaving.close()
 
     def send_heartbeats(self) -> None:
