List servers before the log has caught up, and apply uncommitted departures

Cause: since departures are in the log, a control process that had started listed no server to gateways before its log had caught up, so gateways that had started waited for an election.

Change: servers are listed at once again. Instead, a process that starts applies all departures in its log, those that it doesn't know to be committed, too. It counts as ready only once its log has caught up.

--- a/src/snipecart/control/discovery/handlers.py
+++ b/src/snipecart/control/discovery/handlers.py
@@ -143,17 +143,19 @@
 def _apply_departures(
     task: DiscoveryTask, committed_state: CommittedState, now: Instant
 ) -> None:
-    """Apply the departures that the log has recorded since the last ones."""
+    """Apply the departures that the log has recorded since the last ones.
+
+    Those that are not committed yet are applied, too: the servers themselves said so.
+    """
     added = task.departures.update(committed_state.departures)
-    if not added:
-        return
-    emit(
-        DEPARTURES_RECORDED,
-        index=task.departures.index,
-        departures=len(added),
-        instances=",".join(item.instance.instance for item in added[:MAX_LOGGED]),
-    )
-    for departure in added:
+    if added:
+        emit(
+            DEPARTURES_RECORDED,
+            index=task.departures.index,
+            departures=len(added),
+            instances=",".join(item.instance.instance for item in added[:MAX_LOGGED]),
+        )
+    for departure in (*added, *committed_state.uncommitted_departures):
         if not task.instances.has_departed(departure.instance):
             result = task.instances.apply_update(
                 departure.instance, departure.gone, now
@@ -173,11 +175,10 @@
     sends_routing = sync.wants_routing and newer_routing
     newer_members = committed_state.members_index > sync.control_index
     newer_zones = committed_state.evacuation_index > sync.evacuation_index
-    caught_up = committed_state.caught_up
-    feed = task.change_feed.changes_for(sync, now) if caught_up else None
+    feed = task.change_feed.changes_for(sync, now)
     changes = feed.changes if feed is not None else ()
     in_contact = task.in_contact(now)
-    ready = in_contact and caught_up and task.is_settled(now)
+    ready = in_contact and committed_state.caught_up and task.is_settled(now)
     answer = SyncAnswer(
         source=task.run_id if feed is not None else "",
         revision=task.instances.revision if feed is not None else 0,
--- a/src/snipecart/control/discovery/updates.py
+++ b/src/snipecart/control/discovery/updates.py
@@ -13,6 +13,7 @@
 
     from ...core.ids import ZoneName
     from ...messages.commands import Node
+    from ...messages.discovery import Departure
     from ...messages.discovery import Instance
     from ..machine.state import RecordedDeparture
 
@@ -43,5 +44,7 @@
     members_index: LogIndex = LogIndex(0)
     departures: tuple[RecordedDeparture, ...] = ()
     """Recent departures of backend servers, in the order of the log."""
+    uncommitted_departures: tuple[Departure, ...] = ()
+    """Departures in entries that are not known to be committed."""
     caught_up: bool = False
     """Whether it contains all that was committed before this process started."""
--- a/src/snipecart/control/node.py
+++ b/src/snipecart/control/node.py
@@ -23,6 +23,7 @@
 from ..core.task import Task
 from ..messages.commands import Node
 from ..messages.commands import Refused
+from ..messages.discovery import RecordDepartures
 from ..messages.raft import JoinRequest
 from ..text.parse import parse_text
 from ..wire.links import IncomingMessage
@@ -47,6 +48,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..messages.discovery import Departure
     from ..text.model import Text
     from .machine.state import RecordedDeparture
 
@@ -187,6 +189,7 @@
             (*members.voters, *members.learners),
             members.index,
             self._list_departures(),
+            self._list_uncommitted_departures(),
             self.state.caught_up,
         )
         if committed_state == before:
@@ -209,6 +212,17 @@
             return before
         return tuple(recorded.values())
 
+    def _list_uncommitted_departures(self) -> tuple[Departure, ...]:
+        """Return the departures in entries that are not known to be committed."""
+        log = self.state.log
+        entries = log.entries_between(self.state.commit + 1, log.last_index)
+        return tuple(
+            departure
+            for entry in entries
+            if isinstance(entry.command, RecordDepartures)
+            for departure in entry.command.departures
+        )
+
     def refuse_pending(self, failure: Failure) -> None:
         """Answer all pending proposals with a failure."""
         for reply in self.pending_replies.values():
