Refuse long chunk lines however they arrive, and keep none of them

Cause, found in a second reading: the fast path over whole chunks, which takes the second chunk of a piece and those after it, took a size line whatever its length, while the same line in two pieces was refused over 8 KB. And the cache of parsed sizes was keyed by whole lines, so that 1,024 of them, extensions included, stayed in memory: up to 16 MB that no limit counts, for a peer that varies them.

Ruled out: that the cache can go; it is what makes a small chunk cheap.

Change: the fast path has the same limit, and the cache has the digits of a size only.

Before: a second chunk with a size line of 8,196 bytes was taken in one piece ("wholewhole") and refused byte by byte; 50 bodies left their 50 lines in the cache. After: refused both ways, at most two entries more.

--- a/src/snipecart/core/chunks.py
+++ b/src/snipecart/core/chunks.py
@@ -113,6 +113,8 @@
     """
     data: list[bytes] = []
     while (end := piece.find(CRLF, at)) >= 0:
+        if end + len(CRLF) - at > MAX_LINE_BYTES:
+            raise ChunksMalformed("line is too long")
         size = _parse_size(piece[at:end])
         begin, end = end + len(CRLF), end + len(CRLF) + size
         if not size or piece[end : end + len(CRLF)] != CRLF:
@@ -123,9 +125,13 @@
     return at
 
 
-@lru_cache(maxsize=1024)
 def _parse_size(line: bytes) -> int:
-    digits = line.partition(b";")[0].strip()
+    """Return the size that a line states; extensions of the chunk are ignored."""
+    return _parse_digits(line.partition(b";")[0].strip()[: MAX_SIZE_DIGITS + 1])
+
+
+@lru_cache(maxsize=1024)
+def _parse_digits(digits: bytes) -> int:
     if not HEX_DIGITS.issuperset(digits) or not 0 < len(digits) <= MAX_SIZE_DIGITS:
         raise ChunksMalformed("chunk size is malformed")
     return int(digits, 16)
--- a/tests/test_chunks.py
+++ b/tests/test_chunks.py
@@ -12,6 +12,7 @@
 from snipecart.core.chunks import MAX_TRAILER_LINES
 from snipecart.core.chunks import ChunkDecoder
 from snipecart.core.chunks import ChunksMalformed
+from snipecart.core.chunks import _parse_digits
 
 END = b"0\r\n\r\n"
 
@@ -52,6 +53,7 @@
         b"5\nwhole\r\n" + END,
         b"5\r\nwholeX\r\n" + END,
         b"1" * (MAX_LINE_BYTES + 1),
+        b"5\r\nwhole\r\n5;" + b"a" * MAX_LINE_BYTES + b"\r\nwhole\r\n" + END,
         b"0\r\n" + b"A: b\r\n" * (MAX_TRAILER_LINES + 1),
     ],
 )
@@ -61,5 +63,12 @@
         decode([data] if whole else split(data, range(len(data))))
 
 
+def test_no_line_of_a_body_is_kept_after_it():
+    before = _parse_digits.cache_info().currsize
+    for number in range(50):
+        decode([b"5;%d" % number + b"a" * 4_000 + b"\r\nwhole\r\n" + END])
+    assert _parse_digits.cache_info().currsize <= before + 2
+
+
 def test_a_body_that_is_cut_short_is_not_complete():
     assert decode([b"5\r\nwho"])[0] is None
