Report how many voters answer, and which don't when an election fails

Change: a leader reports changes of the voters that answer it. 2011 and 2012 tell when the log would lose its quorum with one more voter, and when it can lose one again; gauges have the voters, those that answer, and the size of a quorum. A candidate whose election failed logs 2013 with the votes, the refusals, and the voters that were silent.

No election, vote or membership is decided otherwise than before.

--- a/src/snipecart/control/effects.py
+++ b/src/snipecart/control/effects.py
@@ -6,7 +6,10 @@
 from typing import Any
 
 from ..core.events import BECAME_LEADER
+from ..core.events import ELECTION_FAILED
 from ..core.events import LOST_LEADERSHIP
+from ..core.events import QUORUM_AT_RISK
+from ..core.events import QUORUM_SAFE
 from ..core.events import SNAPSHOT_INSTALLED
 from ..core.events import VOTERS_CHANGED
 from ..core.events import emit
@@ -17,10 +20,15 @@
 from .leader import LeaderState
 from .machine.state import apply_entry
 from .machine.state import load_state
+from .metrics import QUORUM_SIZE
+from .metrics import VOTERS
+from .metrics import VOTERS_ANSWERING
 from .raft.state import Apply
+from .raft.state import ElectionFailed
 from .raft.state import MembershipChange
 from .raft.state import Persist
 from .raft.state import PersistSnapshot
+from .raft.state import QuorumChange
 from .raft.state import Restore
 from .raft.state import RoleChange
 from .raft.state import Send
@@ -93,3 +101,40 @@
     node.publish()
     voters = ",".join(voter.node for voter in effect.voters)
     emit(VOTERS_CHANGED, voters=voters, learners=len(effect.learners))
+
+
+@EFFECTS.register(ElectionFailed)
+def run_election_failed(node: NodeTask, effect: ElectionFailed, now: Instant) -> None:
+    """Log which voters did not answer a candidate, and which refused."""
+    answered = {*effect.granted, *effect.refused}
+    emit(
+        ELECTION_FAILED,
+        term=effect.term,
+        pre_vote=effect.pre_vote,
+        voters=len(effect.voters),
+        granted=len(effect.granted),
+        refused=",".join(effect.refused),
+        silent=",".join(voter for voter in effect.voters if voter not in answered),
+    )
+
+
+@EFFECTS.register(QuorumChange)
+def run_quorum_change(node: NodeTask, effect: QuorumChange, now: Instant) -> None:
+    """Update the gauges of the quorum, and log when it can't lose another voter."""
+    quorum = effect.quorum
+    VOTERS.set(quorum.voters if quorum else 0)
+    VOTERS_ANSWERING.set(quorum.answering if quorum else 0)
+    QUORUM_SIZE.set(quorum.needed if quorum else 0)
+    if quorum is None:
+        return
+    was_at_risk, node.quorum_at_risk = node.quorum_at_risk, quorum.spare < 1
+    if node.quorum_at_risk:
+        emit(
+            QUORUM_AT_RISK,
+            voters=quorum.voters,
+            answering=quorum.answering,
+            needed=quorum.needed,
+            silent=",".join(quorum.silent),
+        )
+    elif was_at_risk:
+        emit(QUORUM_SAFE, voters=quorum.voters, answering=quorum.answering)
--- a/src/snipecart/control/metrics.py
+++ b/src/snipecart/control/metrics.py
@@ -11,6 +11,11 @@
 DISK_WRITABLE = Gauge(
     "snipecart_control_disk_writable", "1 while the data folder can be written"
 )
+VOTERS = Gauge("snipecart_control_voters", "Voters of the log; 0 unless this leads it")
+VOTERS_ANSWERING = Gauge(
+    "snipecart_control_voters_answering", "Voters that answer this leader, with it"
+)
+QUORUM_SIZE = Gauge("snipecart_control_quorum", "Voters that form a quorum")
 REFUSALS = Counter(
     "snipecart_control_refusals", "Operators' requests refused", ["reason"]
 )
--- a/src/snipecart/control/node.py
+++ b/src/snipecart/control/node.py
@@ -106,6 +106,8 @@
         self.leader_state: LeaderState | None = None
         self.accepted = AcceptedText(machine.version, _parse_stored_text(machine.text))
         self.committed_state = CommittedState()
+        self.quorum_at_risk = False
+        """Whether the log would lose its quorum with one more voter, if this leads."""
         self.leader_waiters: list[LeaderWaiter] = []
         self.pending_replies: dict[LogIndex, Callable[[Any], None]] = {}
         self._tick_due = Instant(0.0)
--- a/src/snipecart/control/raft/election.py
+++ b/src/snipecart/control/raft/election.py
@@ -16,6 +16,7 @@
 from .state import HANDLERS
 from .state import DiskStateChanged
 from .state import Effect
+from .state import ElectionFailed
 from .state import Flush
 from .state import Persist
 from .state import Progress
@@ -70,13 +71,27 @@
     state.reset_election_timer(now)
     if state.node_id not in state.voter_ids or state.disk is DiskState.BLOCKED:
         return []
+    effects: list[Effect] = []
+    if state.role is Role.CANDIDATE:
+        effects.append(_report_failed_election(state))
     state.role = Role.CANDIDATE
     state.leader = NodeId("")
     state.pre_voting = True
-    state.votes = {state.node_id}
+    state.votes, state.refusals = {state.node_id}, set()
     if state.has_quorum(state.votes):
-        return start_election(state, now)
-    return [Send(to, req) for to, req in _vote_requests(state, pre_vote=True)]
+        return [*effects, *start_election(state, now)]
+    requests = _vote_requests(state, pre_vote=True)
+    return [*effects, *(Send(to, req) for to, req in requests)]
+
+
+def _report_failed_election(state: RaftState) -> ElectionFailed:
+    return ElectionFailed(
+        state.term,
+        state.pre_voting,
+        tuple(sorted(state.voter_ids)),
+        tuple(sorted(state.votes)),
+        tuple(sorted(state.refusals)),
+    )
 
 
 def start_election(state: RaftState, now: Instant) -> list[Effect]:
@@ -89,7 +104,7 @@
     state.pre_voting = False
     state.term = Term(state.term + 1)
     state.voted_for = state.node_id
-    state.votes = set()
+    state.votes, state.refusals = set(), set()
     requests = _vote_requests(state, pre_vote=False)
     return [persist_vote(state), *(SendAfterSync(to, req) for to, req in requests)]
 
@@ -174,6 +189,8 @@
     state: RaftState, answer: VoteAnswer, now: Instant
 ) -> list[Effect]:
     """Count a granted vote, or become a follower on a higher term."""
+    if not answer.granted:
+        state.refusals.add(answer.voter)
     if not answer.granted and answer.term > state.term:
         return become_follower(state, answer.term, NodeId(""), now)
     expected_term = Term(state.term + 1) if state.pre_voting else state.term
--- a/src/snipecart/control/raft/replication.py
+++ b/src/snipecart/control/raft/replication.py
@@ -19,6 +19,7 @@
 from .following import accept_leader
 from .following import make_append_answer
 from .membership import maintain_voters
+from .quorum import describe_quorum
 from .snapshots import send_snapshot
 from .state import HANDLERS
 from .state import Apply
@@ -29,6 +30,7 @@
 from .state import Persist
 from .state import Progress
 from .state import Propose
+from .state import QuorumChange
 from .state import RaftState
 from .state import Send
 from .state import SendAfterSync
@@ -56,7 +58,7 @@
     A leader sends heartbeats, or steps down if no quorum answers. Another process
     starts a pre-vote once its election timeout has passed.
     """
-    effects = _persist_commit(state, now)
+    effects = [*_persist_commit(state, now), *_report_quorum(state, now)]
     if state.role is not Role.LEADER:
         if now >= state.election_due:
             effects += start_pre_vote(state, now)
@@ -73,6 +75,15 @@
     return effects
 
 
+def _report_quorum(state: RaftState, now: Instant) -> list[Effect]:
+    """Report the voters that answer this leader if they have changed."""
+    quorum = describe_quorum(state, now)
+    if quorum == state.reported_quorum:
+        return []
+    state.reported_quorum = quorum
+    return [QuorumChange(quorum)]
+
+
 def _persist_commit(state: RaftState, now: Instant) -> list[Effect]:
     """Persist a newer commit index, at most once in COMMIT_PERSIST_INTERVAL.
 
--- a/src/snipecart/control/raft/state.py
+++ b/src/snipecart/control/raft/state.py
@@ -27,6 +27,7 @@
     from ...messages.commands import Entry
     from ...messages.commands import Node
     from ...messages.raft import DiskSnapshot
+    from .quorum import Quorum
 
 
 NOTHING_CUT = LogIndex(0)
@@ -139,6 +140,24 @@
     learners: tuple[Node, ...]
 
 
+@dataclass(frozen=True)
+class ElectionFailed:
+    """Report that a candidate got no quorum in time."""
+
+    term: Term
+    pre_vote: bool
+    voters: tuple[NodeId, ...]
+    granted: tuple[NodeId, ...]
+    refused: tuple[NodeId, ...]
+
+
+@dataclass(frozen=True)
+class QuorumChange:
+    """Report a change of the voters that answer; None once it isn't known any more."""
+
+    quorum: Quorum | None
+
+
 Effect = Any
 Handler = Callable[["RaftState", Any, Instant], list[Effect]]
 
@@ -203,9 +222,13 @@
     heartbeat_due: Instant = Instant(0.0)
     votes: set[NodeId] = field(default_factory=set)
     """Nodes that granted their vote or pre-vote in the current election."""
+    refusals: set[NodeId] = field(default_factory=set)
+    """Nodes that refused their vote or pre-vote in the current election."""
     pre_voting: bool = False
     progress: dict[NodeId, Progress] = field(default_factory=dict)
     """Replication progress by peer; used while this process is the leader."""
+    reported_quorum: Quorum | None = None
+    """Quorum in the latest QuorumChange."""
     leader_since: Instant = Instant(0.0)
     term_start_index: LogIndex = LogIndex(0)
     """Index of the first entry of this leader's own term."""
--- a/src/snipecart/core/events.py
+++ b/src/snipecart/core/events.py
@@ -78,6 +78,13 @@
 LOG_CAUGHT_UP = register_event(
     2010, logbook.INFO, "log has all that was committed before the start"
 )
+QUORUM_AT_RISK = register_event(
+    2011, logbook.WARNING, "log would lose its quorum with one more voter"
+)
+QUORUM_SAFE = register_event(2012, logbook.NOTICE, "log can lose a voter again")
+ELECTION_FAILED = register_event(
+    2013, logbook.WARNING, "no leader elected, too few votes"
+)
 TEXT_ACCEPTED = register_event(2101, logbook.NOTICE, "configuration accepted")
 TEXT_IN_FORCE = register_event(3001, logbook.NOTICE, "configuration in force")
 CONTROL_CUT_OFF = register_event(
