Simulate control VMs that are replaced, and show the quorum that is lost by it

The simulated cluster gets VMs that are added at other addresses with blank disks, and VMs that are gone for good; links follow settings, log and answers to join requests. Never more than one VM is missing, each replacement has four seconds to catch up, and one disk is lost beside them.

--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -115,13 +115,17 @@
 
 
 class Cluster:
-    """Simulate three control processes and check their invariants.
+    """Simulate control processes and check their invariants.
 
     ``ack_before_sync`` injects a fault: messages are sent before the disk has synced.
     """
 
     def __init__(
-        self, seed: int, ack_before_sync: bool = False, sync_time: float = SYNC_SECONDS
+        self,
+        seed: int,
+        ack_before_sync: bool = False,
+        sync_time: float = SYNC_SECONDS,
+        founders: tuple[str, ...] = VMS,
     ) -> None:
         self.rng = Random(seed)
         self.now = 0.0
@@ -139,11 +143,11 @@
         self.answers: dict[str, RecordedAnswer] = {}
         self.submitted: dict[str, SubmitAnswer] = {}
         self.seen: dict[str, int] = defaultdict(int)
-        founders = tuple(Node(NodeId(f"{vm}/founder"), vm, vm, 1) for vm in VMS)
-        first = Entry(LogIndex(1), 1, UnixMillis(0), ChangeVoters(founders, ()))
+        voters = tuple(Node(NodeId(f"{vm}/founder"), vm, vm, 1) for vm in founders)
+        first = Entry(LogIndex(1), 1, UnixMillis(0), ChangeVoters(voters, ()))
         batch = DiskBatch(Term(1), NodeId(""), LogIndex(0), (first,))
         self.processes = {}
-        for vm in VMS:
+        for vm in founders:
             disk = Disk(NodeId(f"{vm}/founder"), [Persist(batch)])
             rate = self.rng.uniform(0.97, 1.03)
             self.processes[vm] = Process(vm, disk, rate)
@@ -194,8 +198,8 @@
 
     def tick(self, vm: str, state: RaftState) -> None:
         """Advance the timers of a process until it is restarted."""
-        process = self.processes[vm]
-        if process.state is not state:
+        process = self.processes.get(vm)
+        if process is None or process.state is not state:
             return
         self.after(TICK_INTERVAL * self.rng.uniform(0.8, 1.2), self.tick, vm, state)
         if self.now < process.frozen_until:
@@ -219,7 +223,7 @@
         member_ids = {node.node for node in (*state.voters, *state.learners)}
         if state.node_id not in member_ids:
             joiner = Node(state.node_id, process.vm, process.vm, 1)
-            for vm in VMS:
+            for vm in self.processes:
                 self.send(process.vm, vm, JoinRequest(joiner))
 
     def handle_event(self, process: Process, event: Any) -> None:
@@ -252,8 +256,8 @@
 
     def sync(self, vm: str, state: RaftState) -> None:
         """Make the pending effects durable, then send the messages that waited."""
-        process = self.processes[vm]
-        if process.state is not state:
+        process = self.processes.get(vm)
+        if process is None or process.state is not state:
             return
         process.sync_scheduled = False
         if process.disk.full:
@@ -311,8 +315,12 @@
 
     def deliver(self, vm: str, node: NodeId | None, message: Any) -> None:
         """Deliver a message to a process, after its freeze if it is frozen."""
-        process = self.processes[vm]
-        if process.state is None or node not in (None, process.state.node_id):
+        process = self.processes.get(vm)
+        if (
+            process is None
+            or process.state is None
+            or node not in (None, process.state.node_id)
+        ):
             return
         if self.now < process.frozen_until:
             process.inbox.append(message)
--- /dev/null
+++ b/tests/control/open_cluster.py
@@ -0,0 +1,110 @@
+"""Simulate a cluster whose control VMs are replaced by VMs at other addresses."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+from snipecart.control.node import JOIN_INTERVAL
+from snipecart.control.raft import timing
+from snipecart.core.ids import NodeId
+from snipecart.core.states import Role
+from snipecart.messages.commands import Node
+from snipecart.messages.raft import JoinAnswer
+from snipecart.messages.raft import JoinRequest
+
+from .cluster import Cluster
+from .cluster import Disk
+from .cluster import Process
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+FOUNDERS = ("a1", "b1", "c1", "d1", "e1")
+
+
+@dataclass
+class Membership:
+    """Store what a process knows of the others, and whether it was added."""
+
+    seeds: set[str]
+    """VMs in its settings."""
+    added: bool
+    joined_links: set[str]
+    """VMs that an answer to a join request named; forgotten when it starts again."""
+    join_due: float = 0.0
+
+
+class OpenCluster(Cluster):
+    """Simulate a log that is open to VMs, which know each other by seeds and log."""
+
+    def __init__(self, seed: int, founders: tuple[str, ...] = FOUNDERS) -> None:
+        self.known: dict[str, Membership] = {
+            vm: Membership(set(founders[:3]), False, set()) for vm in founders
+        }
+        super().__init__(seed, founders=founders)
+
+    def start(self, vm: str) -> None:
+        """Start a process from the contents of its disk."""
+        super().start(vm)
+        self.processes[vm].state.open_to_vms = True
+        self.known[vm].joined_links = set()
+
+    def add_vm(self, vm: str, seeds: Iterable[str]) -> None:
+        """Start a control process on a new VM with a blank disk."""
+        self.sequence += 1
+        disk = Disk(NodeId(f"{vm}/{self.sequence}"))
+        self.processes[vm] = Process(vm, disk, self.rng.uniform(0.97, 1.03))
+        self.known[vm] = Membership(set(seeds), True, set())
+        self.start(vm)
+
+    def remove_vm(self, vm: str) -> None:
+        """End a VM for good, with its disk."""
+        self.crash(vm)
+        del self.processes[vm]
+
+    def lose_power(self, vms: Iterable[str]) -> None:
+        """Crash processes, which keep their synced disks."""
+        for vm in vms:
+            self.crash(vm)
+
+    def links(self, process: Process) -> set[str]:
+        """Return the VMs that a process has links to."""
+        state, known = process.state, self.known[process.vm]
+        members = {node.vm for node in (*state.voters, *state.learners)}
+        return (members | known.seeds | known.joined_links) - {process.vm}
+
+    def send_join_request(self, process: Process) -> None:
+        """Send a join request as a control process does that is open to VMs."""
+        state, known = process.state, self.known[process.vm]
+        now = self.clock(process)
+        member_ids = {node.node for node in (*state.voters, *state.learners)}
+        lost_contact = now > state.last_leader_contact + timing.REJOIN_TIMEOUT
+        is_member = state.node_id in member_ids and not lost_contact
+        if is_member or state.role is Role.LEADER or now < known.join_due:
+            return
+        known.join_due = now + JOIN_INTERVAL
+        joiner = Node(state.node_id, process.vm, process.vm, 1, known.added)
+        for vm in sorted(self.links(process)):
+            self.send(process.vm, vm, JoinRequest(joiner))
+
+    def send(self, source: str, target: str, message: Any) -> None:
+        """Send over a link, if there is one; answers go back on the same link."""
+        process = self.processes.get(source)
+        if process is None or process.state is None:
+            return
+        if isinstance(message, JoinAnswer) or target in self.links(process):
+            super().send(source, target, message)
+
+    def handle_event(self, process: Process, event: Any) -> None:
+        """Pass an event to a process, and answer join requests with the members."""
+        if isinstance(event, JoinAnswer):
+            if process.state.node_id not in process.state.voter_ids:
+                self.known[process.vm].joined_links = {node.vm for node in event.nodes}
+            return
+        super().handle_event(process, event)
+        if isinstance(event, JoinRequest) and not event.forwarded:
+            state = process.state
+            answer = JoinAnswer((*state.voters, *state.learners))
+            self.send(process.vm, event.joiner.vm, answer)
--- /dev/null
+++ b/tests/control/test_replaced_vms.py
@@ -0,0 +1,88 @@
+"""Test that a quorum outlasts control VMs that are replaced one after the other."""
+
+from __future__ import annotations
+
+import pytest
+
+from .open_cluster import FOUNDERS
+from .open_cluster import OpenCluster
+
+SEEDS = range(10)
+
+START_SECONDS = 6.0
+
+JOIN_DELAY = 1.0
+"""Seconds between the end of a VM and the start of the one that replaces it."""
+
+ACKNOWLEDGE_SECONDS = 4.0
+"""Time in which a change must be acknowledged while a quorum is in contact."""
+
+DARK_SECONDS = 1.4
+"""Time without power."""
+
+RECOVERY_SECONDS = 15.0
+"""Time for a leader to be elected once all VMs are back."""
+
+
+def replace_vms(cluster: OpenCluster, count: int, pace: float) -> None:
+    """Replace VMs for good at a pace in seconds, each by one with a blank disk."""
+    for old in FOUNDERS[:count]:
+        cluster.remove_vm(old)
+        cluster.run(JOIN_DELAY)
+        seeds = list(cluster.processes)[:3]
+        cluster.add_vm(f"{old[0]}2", seeds)
+        cluster.run(pace - JOIN_DELAY)
+
+
+def acknowledge_change(cluster: OpenCluster) -> None:
+    """Submit a configuration until it is acknowledged."""
+    end, before = cluster.now + ACKNOWLEDGE_SECONDS, len(cluster.accepted)
+    number = 100
+    while len(cluster.accepted) == before:
+        assert cluster.now < end, "no change was acknowledged"
+        number += 1
+        cluster.submit(number, cluster.newest_version())
+        cluster.run(0.1)
+
+
+def lose_disk(cluster: OpenCluster, *, others_lose_power: bool) -> None:
+    """Lose the disk of one VM while all others lose power, or run on."""
+    vms = list(cluster.processes)
+    lost = cluster.rng.choice(vms)
+    cluster.lose_disk(lost)
+    others = [vm for vm in vms if vm != lost] if others_lose_power else []
+    cluster.lose_power(others)
+    cluster.run(DARK_SECONDS)
+    for vm in (lost, *others):
+        cluster.start(vm)
+
+
+def check_recovered(cluster: OpenCluster) -> None:
+    """Check that a leader has every acknowledged configuration in time."""
+    cluster.run(RECOVERY_SECONDS)
+    leader = cluster.leader()
+    assert leader is not None, "no leader"
+    assert leader.machine.version == max(cluster.accepted)
+
+
+@pytest.mark.parametrize("pace", [5.0, 6.0, 8.0, 11.0, 18.0])
+def test_a_quorum_survives_four_vms_replaced_one_after_the_other(pace):
+    for seed in SEEDS:
+        cluster = OpenCluster(seed)
+        cluster.run(START_SECONDS)
+        replace_vms(cluster, 4, pace)
+        acknowledge_change(cluster)
+
+
+@pytest.mark.parametrize("others_lose_power", [True, False])
+@pytest.mark.parametrize("pace", [5.0, 6.0, 8.0, 11.0, 18.0])
+def test_an_acknowledged_change_survives_a_lost_disk_after_replacements(
+    pace, others_lose_power
+):
+    for seed in SEEDS:
+        cluster = OpenCluster(seed)
+        cluster.run(START_SECONDS)
+        replace_vms(cluster, 3, pace)
+        acknowledge_change(cluster)
+        lose_disk(cluster, others_lose_power=others_lose_power)
+        check_recovered(cluster)
