Remove voters that are gone within seconds, whichever process leads

Cause: a replacement was promoted as soon as it had caught up, while the voter that it replaces counted until it had been silent for 15 s. Each new leader started these 15 s anew, as only the leader knew who answers. Replaced every five seconds, the voters grew from five to eight with three of them gone: a quorum is five, and one lost disk left four. The class: a decision that rests on evidence in the memory of one leader, with a time longer than that in which the next loss may come.

Change: leaders tell their followers which voters are silent and for how long; a new leader goes on from there after a grace of one second in which every voter may answer it. A voter is removed after 3 s, as on its own VM, the one silent for longest first.

Why it works: at most those voters are gone and still counted that were lost in the last 3 s and the time of an election. Removing one too early costs little, as it joins again with its log, and never more voters are removed than VMs were added.

--- a/src/snipecart/control/raft/election.py
+++ b/src/snipecart/control/raft/election.py
@@ -13,6 +13,8 @@
 from ...messages.raft import VoteAnswer
 from ...messages.raft import VoteRequest
 from . import timing
+from .silence import record_own_answers
+from .silence import record_sign_of_life
 from .state import HANDLERS
 from .state import DiskStateChanged
 from .state import Effect
@@ -137,6 +139,7 @@
     Requests are rejected while the current leader is alive, and ignored while the vote
     could not be stored.
     """
+    record_sign_of_life(state, req.candidate, now)
     if state.disk is DiskState.BLOCKED:
         return []
     if _is_leader_alive(state, now):
@@ -191,6 +194,7 @@
     """Count a granted vote, or become a follower on a higher term."""
     if not answer.granted:
         state.refusals.add(answer.voter)
+    record_sign_of_life(state, answer.voter, now)
     if not answer.granted and answer.term > state.term:
         return become_follower(state, answer.term, NodeId(""), now)
     expected_term = Term(state.term + 1) if state.pre_voting else state.term
@@ -224,6 +228,7 @@
     state.leader = state.node_id
     state.leader_since = now
     last = state.log.last_index
+    record_own_answers(state)
     state.waiting_joiners.clear()
     state.progress = {
         node.node: Progress(LogIndex(0), LogIndex(last + 1)) for node in state.peers
--- a/src/snipecart/control/raft/membership.py
+++ b/src/snipecart/control/raft/membership.py
@@ -12,6 +12,8 @@
 from ...messages.commands import Node
 from ...messages.raft import JoinRequest
 from . import timing
+from .silence import may_be_replaced
+from .silence import seconds_silent
 from .state import HANDLERS
 from .state import Effect
 from .state import Progress
@@ -72,9 +74,8 @@
     vm_voters = [node for node in state.voters if node.vm == joiner.vm]
     if not vm_voters:
         return joiner if state.open_to_vms else None
-    if any(
-        _answered_recently(state, node, now)
-        for node in _other_voters_on_vm(state, joiner)
+    if not all(
+        may_be_replaced(state, node, now) for node in _other_voters_on_vm(state, joiner)
     ):
         return None
     return replace(joiner, added=vm_voters[0].added)
@@ -104,22 +105,6 @@
     ]
 
 
-def _answered_recently(state: RaftState, node: Node, now: Instant) -> bool:
-    return _seconds_since_answer(state, node, now) < timing.REPLACE_VOTER_TIMEOUT
-
-
-def _seconds_since_answer(state: RaftState, node: Node, now: Instant) -> float:
-    """Return the seconds since a voter last answered this leader.
-
-    Counted from the start of its leadership if the voter has not answered since.
-    """
-    if node.node == state.node_id:
-        return 0.0
-    peer = state.progress.get(node.node)
-    confirmed = max(peer.confirmed if peer else -1.0, state.leader_since)
-    return now - confirmed
-
-
 def _propose_membership(
     state: RaftState,
     voters: tuple[Node, ...],
@@ -141,9 +126,7 @@
         return []
     for node in state.voters:
         other_voters = _other_voters_on_vm(state, node)
-        silent = [
-            other for other in other_voters if not _answered_recently(state, other, now)
-        ]
+        silent = [other for other in other_voters if may_be_replaced(state, other, now)]
         if silent:
             voters = tuple(other for other in state.voters if other != silent[0])
             return _propose_membership(state, voters, state.learners, now)
@@ -161,18 +144,19 @@
 
 
 def _select_remaining_voters(state: RaftState, now: Instant) -> tuple[Node, ...] | None:
-    """Return the voters without an unreachable one, if an added VM replaces it.
+    """Return the voters without the one silent for longest, if an added VM replaces it.
 
     An added VM that replaces a founding one loses its ``added`` flag, so that it
     replaces only one. Return None if nothing changes.
     """
     added = [node for node in state.voters if node.added]
-    silent = [node for node in state.voters if _is_unreachable(state, node, now)]
+    silent = [node for node in state.voters if may_be_replaced(state, node, now)]
     reachable_added = [node for node in added if node not in silent]
     if not silent or not reachable_added:
         return None
-    remaining = tuple(node for node in state.voters if node != silent[0])
-    if silent[0].added:
+    gone = max(silent, key=lambda node: seconds_silent(state, node, now))
+    remaining = tuple(node for node in state.voters if node != gone)
+    if gone.added:
         return remaining
     replacement = replace(reachable_added[0], added=False)
     return tuple(
@@ -180,10 +164,6 @@
     )
 
 
-def _is_unreachable(state: RaftState, node: Node, now: Instant) -> bool:
-    return _seconds_since_answer(state, node, now) > timing.REMOVE_VOTER_TIMEOUT
-
-
 def _has_caught_up(state: RaftState, node: Node, now: Instant) -> bool:
     peer = state.progress.get(node.node)
     if peer is None or now > peer.confirmed + timing.ELECTION_TIMEOUT_MIN:
--- a/src/snipecart/control/raft/quorum.py
+++ b/src/snipecart/control/raft/quorum.py
@@ -7,6 +7,7 @@
 
 from ...core.states import Role
 from . import timing
+from .silence import seconds_silent
 
 if TYPE_CHECKING:
     from ...core.ids import Instant
@@ -20,11 +21,11 @@
 
     voters: int
     answering: int
-    """Voters that answered within an election timeout, with the leader."""
+    """Voters that are not silent, with the leader."""
     needed: int
     """Voters that form a quorum."""
     silent: tuple[NodeId, ...]
-    """Voters that did not answer in that time."""
+    """Voters without a sign of life for SILENCE_THRESHOLD."""
 
     @property
     def spare(self) -> int:
@@ -33,22 +34,14 @@
 
 
 def describe_quorum(state: RaftState, now: Instant) -> Quorum | None:
-    """Return the quorum, or None unless this process has led for long enough to know.
-
-    A new leader needs an election timeout to hear from all voters.
-    """
-    known_from = state.leader_since + timing.ELECTION_TIMEOUT_MIN
+    """Return the quorum, or None unless this process has led it for a while."""
+    known_from = state.leader_since + timing.NEW_LEADER_GRACE
     if state.role is not Role.LEADER or now < known_from:
         return None
     silent = tuple(
         node.node
         for node in state.voters
-        if node.node != state.node_id and not _answers(state, node.node, now)
+        if seconds_silent(state, node, now) > timing.SILENCE_THRESHOLD
     )
     voters = len(state.voters)
     return Quorum(voters, voters - len(silent), state.quorum_size(), silent)
-
-
-def _answers(state: RaftState, node: NodeId, now: Instant) -> bool:
-    peer = state.progress.get(node)
-    return peer is not None and now < peer.confirmed + timing.ELECTION_TIMEOUT_MIN
--- a/src/snipecart/control/raft/replication.py
+++ b/src/snipecart/control/raft/replication.py
@@ -20,6 +20,8 @@
 from .following import make_append_answer
 from .membership import maintain_voters
 from .quorum import describe_quorum
+from .silence import list_silent
+from .silence import record_reported_silence
 from .snapshots import send_snapshot
 from .state import HANDLERS
 from .state import Apply
@@ -147,6 +149,7 @@
                 entries,
                 state.commit,
                 int(now * 1e6),
+                list_silent(state, now),
             ),
         )
     ]
@@ -167,6 +170,7 @@
             Send(req.leader, make_append_answer(state, req.sent, False, state.commit))
         ]
     effects = accept_leader(state, req.term, req.leader, now)
+    record_reported_silence(state, req.silent, now)
     if state.disk is DiskState.BLOCKED:
         return effects
     previous = req.previous_index
--- /dev/null
+++ b/src/snipecart/control/raft/silence.py
@@ -0,0 +1,66 @@
+"""Track for how long voters have given no sign of life, across changes of leader."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ...core.ids import Instant
+from ...core.ids import Millis
+from ...messages.raft import SilentVoter
+from . import timing
+
+if TYPE_CHECKING:
+    from ...core.ids import NodeId
+    from ...messages.commands import Node
+    from .state import RaftState
+
+
+def record_sign_of_life(state: RaftState, node: NodeId, now: Instant) -> None:
+    """Record that a node has just sent a message."""
+    state.last_seen[node] = now
+
+
+def record_reported_silence(
+    state: RaftState, silent: tuple[SilentVoter, ...], now: Instant
+) -> None:
+    """Record what the leader knows of the voters: all but the silent ones answer it."""
+    seen = {node.node: now for node in state.voters}
+    for item in silent:
+        seen[item.node] = Instant(now - item.silence / 1000)
+    state.last_seen = seen
+
+
+def record_own_answers(state: RaftState) -> None:
+    """Record when the followers last answered this process while it was the leader."""
+    for node, peer in state.progress.items():
+        seen = max(state.last_seen.get(node, -1.0), peer.confirmed)
+        state.last_seen[node] = Instant(seen)
+
+
+def list_silent(state: RaftState, now: Instant) -> tuple[SilentVoter, ...]:
+    """Return the voters that are silent, for the followers of this leader."""
+    silences = ((node.node, seconds_silent(state, node, now)) for node in state.voters)
+    return tuple(
+        SilentVoter(node, Millis(int(seconds * 1000)))
+        for node, seconds in silences
+        if seconds > timing.SILENCE_THRESHOLD
+    )
+
+
+def seconds_silent(state: RaftState, node: Node, now: Instant) -> float:
+    """Return the seconds since the last sign of life of a voter.
+
+    Counted from the start of this leadership if there has been none before.
+    """
+    if node.node == state.node_id:
+        return 0.0
+    peer = state.progress.get(node.node)
+    seen = state.last_seen.get(node.node, state.leader_since)
+    return now - max(peer.confirmed if peer else -1.0, seen)
+
+
+def may_be_replaced(state: RaftState, node: Node, now: Instant) -> bool:
+    """Return whether a voter counts as gone, so that another may take its place."""
+    if now < state.leader_since + timing.NEW_LEADER_GRACE:
+        return False
+    return seconds_silent(state, node, now) > timing.REPLACE_VOTER_TIMEOUT
--- a/src/snipecart/control/raft/state.py
+++ b/src/snipecart/control/raft/state.py
@@ -234,6 +234,8 @@
     """Index of the first entry of this leader's own term."""
     open_to_vms: bool = False
     """Whether control processes on VMs without a voter in the log may join."""
+    last_seen: dict[NodeId, Instant] = field(default_factory=dict)
+    """Time of the last sign of life of each other voter, as far as known here."""
     waiting_joiners: dict[VmName, Node] = field(default_factory=dict)
     """Nodes that this leader adds once it may change the membership."""
 
--- a/src/snipecart/control/raft/timing.py
+++ b/src/snipecart/control/raft/timing.py
@@ -23,10 +23,17 @@
 """Time without answers from a quorum after which a leader becomes a follower."""
 
 REPLACE_VOTER_TIMEOUT = 3.0
-"""Time without an answer after which a voter may be replaced on its own VM."""
+"""Time without a sign of life after which a voter may be replaced.
 
-REMOVE_VOTER_TIMEOUT = 15.0
-"""Time without an answer after which a voter is removed for one on another VM."""
+A voter that only paused for longer joins again, so removing one too early costs less
+than a quorum that counts one that is gone.
+"""
+
+SILENCE_THRESHOLD = 1.0
+"""Time without a sign of life after which a leader reports a voter as silent."""
+
+NEW_LEADER_GRACE = 1.0
+"""Time for which a new leader waits for answers before it replaces any voter."""
 
 REJOIN_TIMEOUT = 3.0
 """Time without contact to a leader after which a process asks to join again.
--- a/src/snipecart/messages/raft.py
+++ b/src/snipecart/messages/raft.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from ..core.ids import LogIndex
+from ..core.ids import Millis
 from ..core.ids import NodeId
 from ..core.ids import Term
 from ..core.message import message
+from ..core.message import record
 from .commands import Entry
 from .commands import Node
 
@@ -31,6 +33,14 @@
     granted: bool
 
 
+@record
+class SilentVoter:
+    """State for how long a voter has given no sign of life."""
+
+    node: NodeId
+    silence: Millis
+
+
 @message
 class AppendRequest:
     """Append entries after a previous one; without entries, confirm the leadership.
@@ -45,6 +55,8 @@
     entries: tuple[Entry, ...]
     commit: LogIndex
     sent: int
+    silent: tuple[SilentVoter, ...] = ()
+    """Voters that may be gone, so that the next leader knows for how long already."""
 
 
 @message
