Take no routing table that may be older than the newest at a gateway that has none

The gateways had lost all that they knew; a control process that had just started handed out version 6 although 10 had been acknowledged 1.5 s before.

Cause: a control process hands out its last committed table. After a start it knows as committed only what its disk says, which lags by up to 0.2 s and misses what it did not take part in; a gateway without any table takes the first one that it gets. It did not look at whether the process had caught up.

Change: an answer says whether the log of its process may lack entries that were committed before its start. A gateway without a table takes neither table nor evacuations from such an answer. A gateway that has a table takes newer ones from any process, as before: what is committed stays so.

Weighed: serving what may be older. It ends the refusals after a loss of all power some two seconds earlier, while a leader is elected, and lets a gateway that starts while there is no leader serve. But an older table may send requests to a region that a newer one forbids, or to a service that is gone, which callers can't undo; a refusal says that nothing has run and when to come back. Ruled out: handing out entries that are not known to be committed, which may never be in force.

--- a/src/snipecart/gateway/balancing/task.py
+++ b/src/snipecart/gateway/balancing/task.py
@@ -159,6 +159,8 @@
         self.started_at = monotonic()
         self.control_answered = False
         """Whether any control process has answered since the start."""
+        self.control_behind = False
+        """Whether the log of the process that answered last may lack entries."""
         self.retain_connections = retain_connections
         self._digest_revision = -1
         """Revision of the servers for which the digest was computed."""
@@ -212,11 +214,12 @@
     def describe_missing_routing(self) -> str:
         """Say since when this gateway has had no routing table, and why."""
         seconds = monotonic() - self.started_at
-        reason = (
-            "the control processes that answered have none"
-            if self.control_answered
-            else "no control process has answered"
-        )
+        if not self.control_answered:
+            reason = "no control process has answered"
+        elif self.control_behind:
+            reason = "the control processes that answered wait for a leader"
+        else:
+            reason = "the control processes that answered have none"
         return f"none in the {seconds:.1f} s since the start: {reason}"
 
     def _request(
@@ -295,6 +298,7 @@
     """Apply the answer of a control process to a sync request."""
     apply_sync(task.state, answer, now)
     task.control_answered = True
+    task.control_behind = answer.may_be_behind
     if answer.source:
         task.applied = SyncPoint(answer.source, answer.revision)
     if answer.instances or answer.gone or answer.complete:
--- a/src/snipecart/gateway/sync.py
+++ b/src/snipecart/gateway/sync.py
@@ -225,6 +225,8 @@
         """
         peer = self._peers[vm]
         peer.answered_at, peer.ready = now, answer.ready
+        if answer.may_be_behind and self._balancer.view.index is None:
+            answer = _without_routing(answer)
         if self._first_answered_at is None:
             self._first_answered_at = now
         if vm == self._followed:
@@ -376,5 +378,15 @@
     return {peer.vm: (peer.host, peer.port) for peer in seeds}
 
 
+def _without_routing(answer: SyncAnswer) -> SyncAnswer:
+    """Return an answer without its routing table and evacuations.
+
+    A gateway without any would act on what a newer table may forbid.
+    """
+    return replace(
+        answer, routing_version=0, routing=b"", evacuation_index=0, evacuated=()
+    )
+
+
 def _is_answering(peer: Peer, now: Instant) -> bool:
     return now < peer.answered_at + PEER_TIMEOUT_SECONDS
--- a/src/snipecart/messages/discovery.py
+++ b/src/snipecart/messages/discovery.py
@@ -158,6 +158,9 @@
     """Revision of ``rate_limits``; 0 if the earlier list stands."""
     rate_limits: tuple[RateLimit, ...] = ()
     """All rate limits that backend servers named."""
+    may_be_behind: bool = False
+    """Whether the log of the process may lack entries that were committed before the
+    process started, and so newer routing tables and evacuations."""
 
 
 @message
--- a/src/snipecart/wire/schema.capnp
+++ b/src/snipecart/wire/schema.capnp
@@ -105,7 +105,7 @@
   evacuationIndex @7 :UInt64; evacuated @8 :List(Text); control @9 :List(Node);
   gateways @10 :UInt32; ready @11 :Bool; controlIndex @12 :UInt64;
   absentAreGone @13 :Bool; leaseStart @14 :Float64; rateShares @15 :List(RateShare);
-  limitsRevision @16 :UInt64; rateLimits @17 :List(RateLimit);
+  limitsRevision @16 :UInt64; rateLimits @17 :List(RateLimit); mayBeBehind @18 :Bool;
 }
 struct InstanceChanged { instance @0 :Instance; gone @1 :Bool; }
 struct InstanceSeen { gateway @0 :Text; instance @1 :Text; sequence @2 :UInt64; }
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -620,6 +620,15 @@
     assert not [item for item in live if item.instance.state is EndpointState.SERVING]
 
 
+@pytest.mark.parametrize("caught_up", [True, False])
+def test_a_process_says_that_its_table_may_be_older_until_its_log_has_caught_up(
+    caught_up,
+):
+    control = TaskDriver(started_at=50.0, caught_up=caught_up)
+    answer = control.send_sync_answer("g1", 50.3)
+    assert answer.may_be_behind is not caught_up
+
+
 def test_a_process_is_not_ready_before_its_log_has_caught_up():
     control = TaskDriver(started_at=50.0, caught_up=False)
     for now in (50.9, 51.8, 52.7):
--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -134,6 +134,31 @@
     assert count_fetches(sync, "c1") == 0
 
 
+@pytest.mark.parametrize("behind", [True, False])
+def test_a_gateway_that_starts_takes_no_table_that_may_be_older_than_the_newest(
+    sync, behind
+):
+    state = {"routing": b"t", "routing_version": 6, "evacuated": ("z",)}
+    deliver_answer(sync, "c1", 1.0, **state, evacuation_index=4, may_be_behind=behind)
+    received = sync._balancer.received[-1]
+    taken = (received.routing, received.evacuated, received.evacuation_index)
+    assert taken == ((b"", (), 0) if behind else (b"t", ("z",), 4))
+
+
+def test_a_gateway_asks_a_process_that_may_be_behind_for_no_table(sync):
+    deliver_answer(sync, "c1", 1.0, routing_version=6, may_be_behind=True)
+    deliver_answer(sync, "c2", 1.0, routing_version=10)
+    assert (count_fetches(sync, "c1"), count_fetches(sync, "c2")) == (0, 1)
+
+
+def test_a_gateway_with_a_table_takes_a_newer_one_from_any_process(sync):
+    sync._balancer.view = View(
+        index=SimpleNamespace(routing=SimpleNamespace(version=5))
+    )
+    deliver_answer(sync, "c1", 1.0, routing=b"t", routing_version=6, may_be_behind=True)
+    assert sync._balancer.received[-1].routing == b"t"
+
+
 def test_new_seeds_are_linked_beside_the_members_of_the_log(sync):
     deliver_answer(sync, "c1", 1.0, control=nodes("c1", "c3"), control_index=7)
     seed = ControlPeer(vm="c9", host="c9", port=1, http_port=2)
