Count a voter that joins again as added, so that it may replace a later loss

What operators would see: after a voter had been cut off for some seconds, and removed because a VM had been added, it joined again; the next VM that was lost for good stayed a voter, and the quorum kept counting it.

Cause: voters that were not added say how many the log should have at least. A founding process that had not been restarted joined again as one of them, so that number grew by one with each removal.

Change: a process that has a log was a member before; its join request says that it is added. The simulation makes its requests by the same function.

The test failed before (the lost VM was still a voter after 10 s), and passes now.

--- a/src/snipecart/control/node.py
+++ b/src/snipecart/control/node.py
@@ -24,7 +24,6 @@
 from ..messages.commands import Node
 from ..messages.commands import Refused
 from ..messages.discovery import RecordDepartures
-from ..messages.raft import JoinRequest
 from ..text.parse import parse_text
 from ..wire.links import IncomingMessage
 from . import raft
@@ -35,6 +34,7 @@
 from .machine.state import MachineState
 from .machine.state import dump_state
 from .raft import timing
+from .raft.membership import make_join_request
 from .raft.state import HANDLERS
 from .raft.state import Compact
 from .raft.state import Flush
@@ -266,7 +266,8 @@
         if is_member or self.state.role is Role.LEADER or now < self._join_due:
             return
         self._join_due = Instant(now + JOIN_INTERVAL)
-        self.outputs.send(ALL_NODES, JoinRequest(self.own_node))
+        request = make_join_request(self.state, self.own_node)
+        self.outputs.send(ALL_NODES, request)
 
     def _compact(self, now: Instant) -> None:
         """Store a snapshot after SNAPSHOT_ENTRIES or SNAPSHOT_BYTES."""
--- a/src/snipecart/control/raft/membership.py
+++ b/src/snipecart/control/raft/membership.py
@@ -36,6 +36,15 @@
     return _add_learners(state, now)
 
 
+def make_join_request(state: RaftState, own_node: Node) -> JoinRequest:
+    """Return the request of a process to join the log, or to join it again.
+
+    One that has a log was a member before, and another voter may have its place now.
+    """
+    was_member = state.log.last_index > 0
+    return JoinRequest(replace(own_node, added=own_node.added or was_member))
+
+
 def _add_learners(state: RaftState, now: Instant) -> list[Effect]:
     """Propose all waiting joiners as learners; learners don't change any quorum."""
     if not (state.waiting_joiners and _can_change_membership(state)):
--- a/tests/control/open_cluster.py
+++ b/tests/control/open_cluster.py
@@ -8,6 +8,7 @@
 
 from snipecart.control.node import JOIN_INTERVAL
 from snipecart.control.raft import timing
+from snipecart.control.raft.membership import make_join_request
 from snipecart.core.ids import NodeId
 from snipecart.core.states import Role
 from snipecart.messages.commands import Node
@@ -85,9 +86,9 @@
         if is_member or state.role is Role.LEADER or now < known.join_due:
             return
         known.join_due = now + JOIN_INTERVAL
-        joiner = Node(state.node_id, process.vm, process.vm, 1, known.added)
+        own_node = Node(state.node_id, process.vm, process.vm, 1, known.added)
         for vm in sorted(self.links(process)):
-            self.send(process.vm, vm, JoinRequest(joiner))
+            self.send(process.vm, vm, make_join_request(state, own_node))
 
     def send(self, source: str, target: str, message: Any) -> None:
         """Send over a link, if there is one; answers go back on the same link."""
--- a/tests/control/test_replaced_vms.py
+++ b/tests/control/test_replaced_vms.py
@@ -65,6 +65,32 @@
     assert leader.machine.version == max(cluster.accepted)
 
 
+def cut_off(cluster: OpenCluster, vm: str, seconds: float) -> None:
+    """Cut a VM off from all others for some seconds."""
+    for other in cluster.processes:
+        cluster.cut_links |= {(vm, other), (other, vm)}
+    cluster.run(seconds)
+    cluster.cut_links.clear()
+
+
+def test_a_voter_that_was_removed_too_early_does_not_keep_a_later_one_in_the_quorum():
+    # The one that joins again must count as added, or nobody replaces the next loss.
+    for seed in SEEDS:
+        cluster = OpenCluster(seed)
+        cluster.run(START_SECONDS)
+        leader = cluster.leader().vm
+        first, second = [vm for vm in FOUNDERS if vm != leader][:2]
+        cluster.add_vm("f2", [leader])
+        cluster.run(2.0)
+        cut_off(cluster, first, 6.0)
+        cluster.run(10.0)
+        assert first in {node.vm for node in cluster.leader().state.voters}
+        cluster.remove_vm(second)
+        cluster.run(10.0)
+        voters = {node.vm for node in cluster.leader().state.voters}
+        assert voters == {*FOUNDERS, "f2"} - {second}
+
+
 @pytest.mark.parametrize("pace", [5.0, 6.0, 8.0, 11.0, 18.0])
 def test_a_quorum_survives_four_vms_replaced_one_after_the_other(pace):
     for seed in SEEDS:
