Forget a learner that is gone before it became a voter

Cause: found while looking for other places where a process that is gone stays in the membership. A VM that was lost between joining and its promotion stayed a learner for good: it counts in no quorum, but every process kept a link to it and the leader kept sending to it.

Change: a learner without a sign of life for 15 s is removed; it joins again if it comes back. A join request is a sign of life, so that one that has just joined is given time.

--- a/src/snipecart/control/raft/membership.py
+++ b/src/snipecart/control/raft/membership.py
@@ -13,6 +13,7 @@
 from ...messages.raft import JoinRequest
 from . import timing
 from .silence import may_be_replaced
+from .silence import record_sign_of_life
 from .silence import seconds_silent
 from .state import HANDLERS
 from .state import Effect
@@ -30,6 +31,7 @@
     While an earlier change of the membership isn't committed, joiners wait and are then
     added together. Followers forward the request to the leader, at most once.
     """
+    record_sign_of_life(state, req.joiner.node, now)
     if state.role is not Role.LEADER:
         return _forward_to_leader(state, req)
     state.waiting_joiners[req.joiner.vm] = req.joiner
@@ -128,8 +130,8 @@
     """Propose the next change of the voters, if one is due.
 
     In order of precedence: remove a silent voter if another voter runs on its VM,
-    remove an unreachable voter if an added VM replaces it, add the nodes that wait to
-    join, promote a learner that has caught up.
+    remove a silent voter if an added VM replaces it, add the nodes that wait to join,
+    promote a learner that has caught up, forget the learners that are gone.
     """
     if not _can_change_membership(state):
         return []
@@ -149,9 +151,16 @@
         if _has_caught_up(state, learner, now):
             learners = tuple(other for other in state.learners if other != learner)
             return _propose_membership(state, (*state.voters, learner), learners, now)
+    learners = tuple(node for node in state.learners if not _is_lost(state, node, now))
+    if learners != state.learners:
+        return _propose_membership(state, state.voters, learners, now)
     return []
 
 
+def _is_lost(state: RaftState, learner: Node, now: Instant) -> bool:
+    return seconds_silent(state, learner, now) > timing.FORGET_LEARNER_TIMEOUT
+
+
 def _select_remaining_voters(state: RaftState, now: Instant) -> tuple[Node, ...] | None:
     """Return the voters without the one silent for longest, if an added VM replaces it.
 
--- a/src/snipecart/control/raft/timing.py
+++ b/src/snipecart/control/raft/timing.py
@@ -29,6 +29,12 @@
 than a quorum that counts one that is gone.
 """
 
+FORGET_LEARNER_TIMEOUT = 15.0
+"""Time without a sign of life after which a learner is removed.
+
+Longer than a snapshot takes, during which it answers nothing.
+"""
+
 SILENCE_THRESHOLD = 1.0
 """Time without a sign of life after which a leader reports a voter as silent."""
 
--- a/tests/control/test_replaced_vms.py
+++ b/tests/control/test_replaced_vms.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from snipecart.control.raft import timing
+
 from .open_cluster import FOUNDERS
 from .open_cluster import OpenCluster
 
@@ -91,6 +93,18 @@
         assert voters == {*FOUNDERS, "f2"} - {second}
 
 
+def test_a_vm_that_is_lost_before_it_became_a_voter_is_forgotten():
+    cluster = OpenCluster(1)
+    cluster.run(START_SECONDS)
+    cluster.add_vm("f2", FOUNDERS[:3])
+    while "f2" not in {node.vm for node in cluster.leader().state.learners}:
+        cluster.run(0.01)
+    cluster.remove_vm("f2")
+    cluster.run(timing.FORGET_LEARNER_TIMEOUT + 2.0)
+    assert not cluster.leader().state.learners
+    assert {node.vm for node in cluster.leader().state.voters} == set(FOUNDERS)
+
+
 @pytest.mark.parametrize("pace", [5.0, 6.0, 8.0, 11.0, 18.0])
 def test_a_quorum_survives_four_vms_replaced_one_after_the_other(pace):
     for seed in SEEDS:
