Name the voters that were added and removed, and how long a removed one was silent

Cause: event 2003 listed the voters that remain.

A change of the flag that a voter was added is none of the voters.

Evidence: tests/control/test_membership.py, at the leader, at a follower, for a change that a later leader replaces, and for the lines of a simulated cluster. There the silence is between 3 and 4 s, as the timeout of 3 s says.

No vote or membership is decided otherwise than before.

--- a/src/snipecart/control/effects.py
+++ b/src/snipecart/control/effects.py
@@ -99,8 +99,15 @@
     """Update the links to the members of the log."""
     node.outputs.update_links((*effect.voters, *effect.learners))
     node.publish()
-    voters = ",".join(voter.node for voter in effect.voters)
-    emit(VOTERS_CHANGED, voters=voters, learners=len(effect.learners))
+    silences = [item.silence for item in effect.removed if item.silence is not None]
+    emit(
+        VOTERS_CHANGED,
+        voters=",".join(voter.node for voter in effect.voters),
+        learners=len(effect.learners),
+        added=",".join(effect.added),
+        removed=",".join(item.node for item in effect.removed),
+        removed_silent_ms=",".join(str(silence) for silence in silences),
+    )
 
 
 @EFFECTS.register(ElectionFailed)
--- a/src/snipecart/control/raft/membership.py
+++ b/src/snipecart/control/raft/membership.py
@@ -6,6 +6,7 @@
 
 from ...core.ids import Instant
 from ...core.ids import LogIndex
+from ...core.ids import Millis
 from ...core.ids import UnixMillis
 from ...core.states import Role
 from ...messages.commands import ChangeVoters
@@ -17,9 +18,11 @@
 from .silence import seconds_silent
 from .state import HANDLERS
 from .state import Effect
+from .state import MembershipChange
 from .state import Progress
 from .state import Propose
 from .state import RaftState
+from .state import RemovedVoter
 from .state import Send
 from .state import step
 
@@ -187,3 +190,26 @@
     if peer is None or now > peer.confirmed + timing.ELECTION_TIMEOUT_MIN:
         return False
     return peer.match_index >= state.commit
+
+
+def describe_change(
+    state: RaftState, before: tuple[Node, ...], now: Instant
+) -> MembershipChange:
+    """Return the report of the current membership and of its change from ``before``."""
+    earlier_ids = {node.node for node in before}
+    return MembershipChange(
+        state.voters,
+        state.learners,
+        tuple(node.node for node in state.voters if node.node not in earlier_ids),
+        tuple(
+            RemovedVoter(node.node, _known_silence(state, node, now))
+            for node in before
+            if node.node not in state.voter_ids
+        ),
+    )
+
+
+def _known_silence(state: RaftState, node: Node, now: Instant) -> Millis | None:
+    if state.role is not Role.LEADER:
+        return None
+    return Millis(int(seconds_silent(state, node, now) * 1000))
--- a/src/snipecart/control/raft/replication.py
+++ b/src/snipecart/control/raft/replication.py
@@ -18,6 +18,7 @@
 from .election import start_pre_vote
 from .following import accept_leader
 from .following import make_append_answer
+from .membership import describe_change
 from .membership import maintain_voters
 from .quorum import describe_quorum
 from .silence import list_silent
@@ -28,7 +29,6 @@
 from .state import Effect
 from .state import Flush
 from .state import Membership
-from .state import MembershipChange
 from .state import Persist
 from .state import Progress
 from .state import Propose
@@ -107,7 +107,7 @@
     index = LogIndex(state.log.last_index + 1)
     entry = Entry(index, state.term, proposal.at, proposal.command)
     state.log.append(entry)
-    effects = _adopt_memberships(state, (entry,))
+    effects = _adopt_memberships(state, (entry,), now)
     return [*effects, Persist(state.make_batch((entry,)))]
 
 
@@ -184,7 +184,7 @@
     if previous > state.log.base and local_term != req.previous_term:
         answer = make_append_answer(state, req.sent, False, state.commit)
         return [*effects, Send(req.leader, answer)]
-    effects += _store_entries(state, req.entries)
+    effects += _store_entries(state, req.entries, now)
     matched = LogIndex(previous + len(req.entries))
     effects += advance_commit(state, min(req.commit, matched))
     if state.commit >= req.commit:
@@ -195,7 +195,9 @@
     ]
 
 
-def _store_entries(state: RaftState, entries: tuple[Entry, ...]) -> list[Effect]:
+def _store_entries(
+    state: RaftState, entries: tuple[Entry, ...], now: Instant
+) -> list[Effect]:
     """Append the entries that the log lacks, after removing conflicting ones."""
     log = state.log
     new_entries = tuple(
@@ -209,15 +211,15 @@
     effects: list[Effect] = []
     cut_from = LogIndex(0)
     if first <= log.last_index:
-        effects += _truncate(state, first)
+        effects += _truncate(state, first, now)
         cut_from = first
     for entry in new_entries:
         log.append(entry)
     effects.append(Persist(state.make_batch(new_entries, cut_from)))
-    return effects + _adopt_memberships(state, new_entries)
+    return effects + _adopt_memberships(state, new_entries, now)
 
 
-def _truncate(state: RaftState, index: LogIndex) -> list[Effect]:
+def _truncate(state: RaftState, index: LogIndex, now: Instant) -> list[Effect]:
     """Remove the entry at an index and all later ones, with their memberships.
 
     Raise CommittedEntryLost if the entry is committed.
@@ -230,16 +232,19 @@
     while state.memberships and state.memberships[-1].index >= index:
         state.memberships.pop()
     if state.memberships and state.memberships[-1] != before:
-        return [MembershipChange(state.voters, state.learners)]
+        return [describe_change(state, before.voters, now)]
     return []
 
 
-def _adopt_memberships(state: RaftState, entries: tuple[Entry, ...]) -> list[Effect]:
+def _adopt_memberships(
+    state: RaftState, entries: tuple[Entry, ...], now: Instant
+) -> list[Effect]:
     memberships = [
         membership for entry in entries for membership in extract_memberships(entry)
     ]
+    before = state.voters
     state.memberships += memberships
-    return [MembershipChange(state.voters, state.learners)] if memberships else []
+    return [describe_change(state, before, now)] if memberships else []
 
 
 def extract_memberships(entry: Entry) -> list[Membership]:
--- a/src/snipecart/control/raft/snapshots.py
+++ b/src/snipecart/control/raft/snapshots.py
@@ -11,11 +11,11 @@
 from .following import accept_leader
 from .following import make_append_answer
 from .log import Log
+from .membership import describe_change
 from .state import HANDLERS
 from .state import Compact
 from .state import Effect
 from .state import Membership
-from .state import MembershipChange
 from .state import PersistSnapshot
 from .state import Progress
 from .state import RaftState
@@ -88,6 +88,7 @@
     )
     state.snapshot = snapshot
     state.log = Log(req.index, req.index_term)
+    before = state.voters
     state.memberships = [Membership(req.index, req.voters, req.learners)]
     state.commit = req.index
     state.synced_index = req.index
@@ -96,7 +97,7 @@
         *effects,
         PersistSnapshot(snapshot, rest),
         Restore(snapshot),
-        MembershipChange(state.voters, state.learners),
+        describe_change(state, before, now),
         SendAfterSync(req.leader, make_append_answer(state, req.sent, True, req.index)),
     ]
 
--- a/src/snipecart/control/raft/state.py
+++ b/src/snipecart/control/raft/state.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from ...core.ids import Millis
     from ...core.ids import VmName
     from ...messages.commands import Entry
     from ...messages.commands import Node
@@ -132,12 +133,22 @@
     term: Term
 
 
+@dataclass(frozen=True)
+class RemovedVoter:
+    """Name a voter that was removed, and its silence if this process leads."""
+
+    node: NodeId
+    silence: Millis | None
+
+
 @dataclass(frozen=True)
 class MembershipChange:
-    """Report the voters and learners of the latest membership in the log."""
+    """Report the latest membership in the log, and how its voters have changed."""
 
     voters: tuple[Node, ...]
     learners: tuple[Node, ...]
+    added: tuple[NodeId, ...]
+    removed: tuple[RemovedVoter, ...]
 
 
 @dataclass(frozen=True)
--- a/tests/control/test_membership.py
+++ b/tests/control/test_membership.py
@@ -11,17 +11,24 @@
 from snipecart.control.raft.membership import maintain_voters
 from snipecart.control.raft.silence import record_own_answers
 from snipecart.control.raft.state import Membership
+from snipecart.control.raft.state import MembershipChange
 from snipecart.control.raft.state import Progress
 from snipecart.control.raft.state import RaftState
+from snipecart.control.raft.state import RemovedVoter
 from snipecart.control.raft.state import Send
 from snipecart.control.raft.state import step
+from snipecart.core.events import VOTERS_CHANGED
 from snipecart.core.ids import Instant
 from snipecart.core.states import Role
+from snipecart.messages.commands import ChangeVoters
+from snipecart.messages.commands import Entry
 from snipecart.messages.commands import Node
 from snipecart.messages.raft import AppendRequest
 from snipecart.messages.raft import JoinRequest
 from snipecart.messages.raft import SilentVoter
 
+from .logged_cluster import LoggedCluster
+
 __all__ = ["raft"]
 
 
@@ -174,3 +181,69 @@
     leader.progress["b/1"].confirmed = 150.0
     record_own_answers(leader)
     assert leader.last_seen["b/1"] == 150.0
+
+
+def changes_in(effects):
+    """Return the voters that were added and removed by each reported change."""
+    return [
+        (effect.added, effect.removed)
+        for effect in effects
+        if isinstance(effect, MembershipChange)
+    ]
+
+
+def test_a_leader_reports_how_long_a_removed_voter_was_silent(leader):
+    now = Instant(100.0 + timing.REPLACE_VOTER_TIMEOUT + 5)
+    add_voter(leader, now)
+    leader.progress["b/1"].confirmed = now
+    effects = maintain_voters(leader, now)
+    assert changes_in(effects) == [((), (RemovedVoter("c/1", 8000),))]
+
+
+def append(state, index, term, voters, previous):
+    """Let a follower take an entry of c's that sets the voters."""
+    entry = Entry(index, term, 0, ChangeVoters(voters, ()))
+    request = AppendRequest(term, "c/1", *previous, (entry,), 0, 0)
+    return step(state, request, Instant(101.0))
+
+
+def test_a_follower_reports_changed_voters_without_their_silence(leader):
+    leader.role, leader.leader = Role.FOLLOWER, "c/1"
+    added = make_node("d", added=True)
+    effects = append(leader, 1, 1, (*VOTERS[1:], added), previous=(0, 0))
+    assert changes_in(effects) == [(("d/1",), (RemovedVoter("a/1", None),))]
+
+
+def test_a_change_that_a_later_leader_replaces_is_reported_as_undone(leader):
+    leader.role, leader.leader = Role.FOLLOWER, "c/1"
+    append(leader, 1, 1, (*VOTERS, make_node("d", added=True)), previous=(0, 0))
+    effects = append(leader, 1, 2, VOTERS, previous=(0, 0))
+    assert changes_in(effects)[0] == ((), (RemovedVoter("d/1", None),))
+
+
+def test_the_log_names_the_voter_that_was_removed_and_its_silence():
+    cluster = LoggedCluster(3)
+    cluster.run(6.0)
+    leader = cluster.leader().vm
+    lost = next(vm for vm in cluster.processes if vm != leader)
+    cluster.remove_vm(lost)
+    cluster.add_vm("f2", [leader])
+    cluster.run(8.0)
+    added, removed = [
+        line.fields
+        for line in cluster.logged(VOTERS_CHANGED)
+        if line.vm == leader and (line.fields["added"] or line.fields["removed"])
+    ]
+    assert added["added"].startswith("f2/")
+    assert added["removed"] == added["removed_silent_ms"] == ""
+    assert removed["removed"] == f"{lost}/founder"
+    least_ms = timing.REPLACE_VOTER_TIMEOUT * 1000
+    assert least_ms < int(removed["removed_silent_ms"]) < least_ms + 1000
+    assert lost not in removed["voters"]
+    followers = [
+        line.fields
+        for line in cluster.logged(VOTERS_CHANGED)
+        if line.vm != leader and line.fields["removed"]
+    ]
+    assert followers
+    assert {fields["removed_silent_ms"] for fields in followers} == {""}
