Show in `snipecart fleet` how many voters may be lost, or since when no leader is heard

Cause: `snipecart fleet` showed the role and the number of voters only.

Change: the status of a control process has the quorum as its leader sees it, with each silent voter and for how long, or, without a leader, the time since it heard from one and its latest election that failed. The command shows both, the leader's learners, and a warning when no further voter may be lost, when too few answer, or when there is no leader. A leader knows its voters one second after its election; until then it says so. The raft state keeps the latest failed election, and when this process last led; nothing decides by either.

Evidence: tests/cli/test_fleet.py, the command over simulated processes of five voters.

--- a/src/snipecart/cli/fleet.py
+++ b/src/snipecart/cli/fleet.py
@@ -14,6 +14,7 @@
 from ..program.answers import to_json
 from .exits import Exit
 from .options import AS_JSON
+from .quorum import describe_quorum
 
 ANSWER_TIMEOUT = 3.0
 """Seconds to wait for the answer of a process."""
@@ -119,6 +120,7 @@
         f" {log['commit']}, routing table {discovery['routing_version']},"
         f" evacuated {zones},"
         f" {contact}, voters {len(log['voters'])}",
+        *(f"  {line}" for line in describe_quorum(log)),
     ]
     for service in discovery["services"]:
         states = ", ".join(f"{n} {state}" for state, n in service["states"].items())
--- a/src/snipecart/control/effects.py
+++ b/src/snipecart/control/effects.py
@@ -113,7 +113,6 @@
 @EFFECTS.register(ElectionFailed)
 def run_election_failed(node: NodeTask, effect: ElectionFailed, now: Instant) -> None:
     """Log which voters did not answer a candidate, and which refused."""
-    answered = {*effect.granted, *effect.refused}
     emit(
         ELECTION_FAILED,
         term=effect.term,
@@ -121,7 +120,7 @@
         voters=len(effect.voters),
         granted=len(effect.granted),
         refused=",".join(effect.refused),
-        silent=",".join(voter for voter in effect.voters if voter not in answered),
+        silent=",".join(effect.silent),
     )
 
 
--- a/src/snipecart/control/raft/election.py
+++ b/src/snipecart/control/raft/election.py
@@ -37,10 +37,13 @@
     effects: list[Effect] = []
     if state.role is Role.LEADER:
         effects.append(RoleChange(Role.FOLLOWER, term))
+        state.led_until = now
         state.reset_election_timer(now)
     state.role = Role.FOLLOWER
     state.leader = leader
     state.pre_voting = False
+    if leader:
+        state.failed_election = None
     if term > state.term:
         state.term = term
         state.voted_for = NodeId("")
@@ -75,7 +78,8 @@
         return []
     effects: list[Effect] = []
     if state.role is Role.CANDIDATE:
-        effects.append(_report_failed_election(state))
+        state.failed_election = _describe_failed_election(state)
+        effects.append(state.failed_election)
     state.role = Role.CANDIDATE
     state.leader = NodeId("")
     state.pre_voting = True
@@ -86,13 +90,15 @@
     return [*effects, *(Send(to, req) for to, req in requests)]
 
 
-def _report_failed_election(state: RaftState) -> ElectionFailed:
+def _describe_failed_election(state: RaftState) -> ElectionFailed:
+    silent = state.voter_ids - state.votes - state.refusals
     return ElectionFailed(
         state.term,
         state.pre_voting,
         tuple(sorted(state.voter_ids)),
         tuple(sorted(state.votes)),
         tuple(sorted(state.refusals)),
+        tuple(sorted(silent)),
     )
 
 
@@ -227,6 +233,7 @@
     state.role = Role.LEADER
     state.leader = state.node_id
     state.leader_since = now
+    state.failed_election = None
     last = state.log.last_index
     record_own_answers(state)
     state.waiting_joiners.clear()
--- a/src/snipecart/control/raft/state.py
+++ b/src/snipecart/control/raft/state.py
@@ -160,6 +160,8 @@
     voters: tuple[NodeId, ...]
     granted: tuple[NodeId, ...]
     refused: tuple[NodeId, ...]
+    silent: tuple[NodeId, ...]
+    """Voters that neither granted nor refused their vote."""
 
 
 @dataclass(frozen=True)
@@ -236,11 +238,15 @@
     refusals: set[NodeId] = field(default_factory=set)
     """Nodes that refused their vote or pre-vote in the current election."""
     pre_voting: bool = False
+    failed_election: ElectionFailed | None = None
+    """Latest election without a quorum since this process knew a leader."""
     progress: dict[NodeId, Progress] = field(default_factory=dict)
     """Replication progress by peer; used while this process is the leader."""
     reported_quorum: Quorum | None = None
     """Quorum in the latest QuorumChange."""
     leader_since: Instant = Instant(0.0)
+    led_until: Instant = Instant(0.0)
+    """Time at which this process last ceased to be the leader."""
     term_start_index: LogIndex = LogIndex(0)
     """Index of the first entry of this leader's own term."""
     open_to_vms: bool = False
--- a/src/snipecart/control/requests.py
+++ b/src/snipecart/control/requests.py
@@ -32,6 +32,8 @@
 from ..messages.raft import JoinRequest
 from .raft.state import Propose
 from .raft.state import step
+from .raft.status import leaderless_status
+from .raft.status import quorum_status
 
 if TYPE_CHECKING:
     from ..core.ids import NodeId
@@ -40,6 +42,8 @@
     from ..messages.commands import Node
     from ..wire.links import IncomingMessage
     from .node import NodeTask
+    from .raft.status import LeaderlessStatus
+    from .raft.status import QuorumStatus
 
 MAX_PENDING = 4096
 """Maximum number of proposals that wait to be committed."""
@@ -107,6 +111,8 @@
     endpoints: tuple[Any, ...]
     claims: int
     disk: DiskState
+    quorum: QuorumStatus | None
+    leaderless: LeaderlessStatus | None
 
 
 def make_refusal(failure: Failure) -> Refused:
@@ -233,6 +239,8 @@
         tuple(item.announcement for item in endpoints),
         len(node.machine.claims),
         state.disk,
+        quorum_status(state, now),
+        leaderless_status(state, now),
     )
 
 
--- a/tests/control/test_quorum.py
+++ b/tests/control/test_quorum.py
@@ -43,4 +43,5 @@
     report = next(item for item in effects if isinstance(item, ElectionFailed))
     assert report.granted == ("a/founder",)
     assert report.refused == ()
+    assert report.silent == ("b/founder", "c/founder")
     assert len(report.voters) == 3
