Collect bodies of unknown size in segments, so that growing takes no second copy

What was seen: one answer of fast chunks without end was refused after 0.2 s, at a limit of 32 MB, but the process had grown by 61 MB for it.

Cause: the buffer of a body grew by reallocation. Once larger blocks have been freed, the allocator takes such buffers from its heap, where one that can't grow in place moves: the old and the new one exist together, and the gap stays with the process. Ruled out: the pieces and the decoder's lists, which are freed at each piece (no growth beyond the body without earlier large blocks, and with chunks of 60,000 bytes).

Change: a body is collected in segments of 64 KB and joined when it is complete, so one that is refused for its size never takes more than was received.

What remains: a complete body takes twice its size for the moment in which it is joined.

--- a/src/snipecart/core/chunks.py
+++ b/src/snipecart/core/chunks.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from io import BytesIO
+    from .buffers import SegmentedBuffer
 
 MAX_LINE_BYTES = 8_192
 """Limit of a line that states a chunk's size, and of a trailer line."""
@@ -51,7 +51,7 @@
         """Return whether the body is complete."""
         return self._part is ChunkPart.DONE
 
-    def feed(self, piece: bytes, body: BytesIO) -> int:
+    def feed(self, piece: bytes, body: SegmentedBuffer) -> int:
         """Append the data in a piece to ``body``.
 
         Return how many bytes of the piece were used: all, unless the body ends within
@@ -67,7 +67,7 @@
                 at = _take_whole_chunks(piece, at, body)
         return at
 
-    def _take_data(self, piece: bytes, at: int, body: BytesIO) -> int:
+    def _take_data(self, piece: bytes, at: int, body: SegmentedBuffer) -> int:
         data = piece[at : at + self._left]
         body.write(data)
         self._left -= len(data)
@@ -105,7 +105,7 @@
                 raise ChunksMalformed("too many trailer lines")
 
 
-def _take_whole_chunks(piece: bytes, at: int, body: BytesIO) -> int:
+def _take_whole_chunks(piece: bytes, at: int, body: SegmentedBuffer) -> int:
     """Append the data of the chunks that lie wholly in a piece, from an offset on.
 
     Return the offset of what follows them. Small chunks come by the thousand, so this
--- a/src/snipecart/program/body.py
+++ b/src/snipecart/program/body.py
@@ -11,7 +11,6 @@
 import threading
 from contextlib import contextmanager
 from dataclasses import dataclass
-from io import BytesIO
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -19,6 +18,7 @@
 from expression import Ok
 from expression import Result
 
+from ..core.buffers import SegmentedBuffer
 from ..core.chunks import ChunkDecoder
 from ..core.chunks import ChunksMalformed
 from ..core.failures import BadCall
@@ -153,7 +153,7 @@
             return Error(BodyTooLarge(f"{framing.length} bytes"))
         if framing.length > reservation.budget.free:
             return Error(_memory_full(framing.length, reservation.budget))
-    body = BytesIO()
+    body = SegmentedBuffer()
     try:
         pieces = (
             _read_chunks(stream)
@@ -161,14 +161,14 @@
             else _read_exactly(stream, framing.length)
         )
         for piece in pieces:
-            if body.tell() + len(piece) > max_bytes:
+            if body.size + len(piece) > max_bytes:
                 return Error(BodyTooLarge(f"over {max_bytes} bytes"))
             if not reservation.grow(len(piece)):
                 return Error(_memory_full(len(piece), reservation.budget))
             body.write(piece)
     except _BodyFailed as exc:
         return Error(exc.failure)
-    return Ok(body.getvalue())
+    return Ok(body.join())
 
 
 def _memory_full(size: int, budget: MemoryBudget) -> BodyMemoryFull:
@@ -187,7 +187,7 @@
 def _read_chunks(stream: BodyStream) -> Iterator[bytes]:
     decoder = ChunkDecoder()
     while not decoder.done:
-        piece, data = stream.peek(), BytesIO()
+        piece, data = stream.peek(), SegmentedBuffer()
         if not piece:
             raise _BodyFailed(BadCall("body is cut short"))
         try:
@@ -195,4 +195,4 @@
         except ChunksMalformed as exc:
             raise _BodyFailed(BadCall(str(exc))) from exc
         stream.skip(used)
-        yield data.getvalue()
+        yield data.join()
--- a/src/snipecart/upstream/bodies.py
+++ b/src/snipecart/upstream/bodies.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from io import BytesIO
 from typing import TYPE_CHECKING
 
+from ..core.buffers import SegmentedBuffer
 from ..core.chunks import ChunkDecoder
 from ..core.chunks import ChunksMalformed
 from ..core.failures import AnswerMalformed
@@ -20,10 +20,10 @@
 def read_body(raw: http.client.HTTPResponse, reader: KeepAliveReader) -> bytes:
     """Return the body of an answer whose head was read, and close the answer.
 
-    The body is written to one buffer piece by piece: a list of its chunks would take
-    many times the bytes received. Raise CutShort or AnswerRejected.
+    The body is collected in segments: a list of its chunks would take many times the
+    bytes received. Raise CutShort or AnswerRejected.
     """
-    body = BytesIO()
+    body = SegmentedBuffer()
     if raw.chunked:
         _read_chunks(reader, body)
     elif raw.length is not None:
@@ -31,10 +31,10 @@
     else:
         _read_to_close(reader, body)
     raw.close()
-    return body.getvalue()
+    return body.join()
 
 
-def _read_chunks(reader: KeepAliveReader, body: BytesIO) -> None:
+def _read_chunks(reader: KeepAliveReader, body: SegmentedBuffer) -> None:
     decoder = ChunkDecoder()
     while not decoder.done:
         with reader.next_piece() as piece:
@@ -47,7 +47,7 @@
             reader.put_back(piece[used:])
 
 
-def _read_length(reader: KeepAliveReader, body: BytesIO, size: int) -> None:
+def _read_length(reader: KeepAliveReader, body: SegmentedBuffer, size: int) -> None:
     while size:
         with reader.next_piece() as piece:
             if not piece:
@@ -57,7 +57,7 @@
             size -= min(size, len(piece))
 
 
-def _read_to_close(reader: KeepAliveReader, body: BytesIO) -> None:
+def _read_to_close(reader: KeepAliveReader, body: SegmentedBuffer) -> None:
     while True:
         with reader.next_piece() as piece:
             if not piece:
--- a/tests/test_chunks.py
+++ b/tests/test_chunks.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from io import BytesIO
-
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from snipecart.core.buffers import SegmentedBuffer
 from snipecart.core.chunks import MAX_LINE_BYTES
 from snipecart.core.chunks import MAX_TRAILER_LINES
 from snipecart.core.chunks import ChunkDecoder
@@ -19,10 +18,10 @@
 
 def decode(pieces):
     """Return the body in the pieces, and the bytes that follow it."""
-    decoder, body, rest = ChunkDecoder(), BytesIO(), b""
+    decoder, body, rest = ChunkDecoder(), SegmentedBuffer(), b""
     for piece in pieces:
         rest += piece[decoder.feed(piece, body) :]
-    return (body.getvalue() if decoder.done else None), rest
+    return (body.join() if decoder.done else None), rest
 
 
 def split(data, cuts):
