Let one thread at a time read the rests of long answers

Cause: two threads received and decoded such rests at the same time. Decoding needs the interpreter's lock all the while, so the second one adds no speed: it only halves the chance of each other thread to get the lock next, and a request that has reached its timeout needs it several times until its answer is written. With many requests at their timeout at once, those waits add up to more than the half second that is allowed.

Given up: a long answer of one server waits for the turns of another's, 16 KB each.

--- a/src/snipecart/upstream/reader.py
+++ b/src/snipecart/upstream/reader.py
@@ -30,7 +30,7 @@
 BULK_BYTES = 16_384
 """Bytes of an exchange from which the rest of its answer is read in turns."""
 
-MAX_BULK_READERS = 2
+MAX_BULK_READERS = 1
 """Threads that receive and decode such rests at the same time.
 
 They need the interpreter's lock all the while; with many of them, the threads of all
