Compare the logs in data folders of control processes that don't run

Cause: if a quorum of the log is lost for good, operators must know which surviving folder has the newest log before they can do anything about it. Only a running process could read a folder, and it changes it: it truncates a torn record and gives a blank folder an identity.

The store's reading is split from its repairs for this.

Also found: restoring the log's state removed the first entry from the list that was read, so that the list couldn't be used twice. It takes a copy now.

Weighed: a page of a running process (there is none that runs); comparing commit indexes (an acknowledged entry may be committed without any survivor knowing it).

--- a/src/snipecart/cli/control.py
+++ b/src/snipecart/cli/control.py
@@ -21,6 +21,7 @@
 from ..program.run import run_until_stopped
 from ..program.settings import ControlSettings
 from .options import SETTINGS_FILE
+from .recovery import show_log
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -76,3 +77,6 @@
             f"data folder is in use, stop the process that uses it: {exc}", err=True
         )
         sys.exit(EXIT_FAILED)
+
+
+main.add_command(show_log)
--- a/src/snipecart/control/disk/store.py
+++ b/src/snipecart/control/disk/store.py
@@ -8,6 +8,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from dataclasses import field
+from typing import IO
 from typing import TYPE_CHECKING
 
 from expression import Error
@@ -16,6 +17,7 @@
 
 from ...core.events import LOG_TAIL_TRUNCATED
 from ...core.events import emit
+from ...core.failures import DataFolderBlank
 from ...core.failures import Failure
 from ...core.failures import LogCorrupt
 from ...core.ids import LogIndex
@@ -64,6 +66,8 @@
     entries: list[Entry] = field(default_factory=list)
     commit: LogIndex = LogIndex(0)
     """Index up to which entries are known to be committed."""
+    torn_at: int | None = None
+    """Byte offset of an incomplete record at the end of the log file, if any."""
 
 
 @contextmanager
@@ -71,13 +75,31 @@
     """Create and lock a data folder; raise FolderInUse if it is locked."""
     path.mkdir(parents=True, exist_ok=True)
     with (path / LOCK_FILE).open("w") as lock:
-        try:
-            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            raise FolderInUse(str(path)) from None
+        _lock_file(lock, path)
         yield path
 
 
+@contextmanager
+def lock_existing_folder(path: Path) -> Iterator[Path]:
+    """Lock a data folder without changing it; raise FolderInUse if it is locked.
+
+    A folder without a lock file, such as a copy of the other files, isn't locked.
+    """
+    if not (path / LOCK_FILE).exists():
+        yield path
+        return
+    with (path / LOCK_FILE).open() as lock:
+        _lock_file(lock, path)
+        yield path
+
+
+def _lock_file(lock: IO[str], folder: Path) -> None:
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        raise FolderInUse(str(folder)) from None
+
+
 def founder_id(vm: VmName) -> NodeId:
     """Return the node id of a VM's first disk.
 
@@ -116,9 +138,24 @@
 def recover(folder: Path, vm: VmName) -> Result[RecoveredState, Failure]:
     """Read the state in the data folder; fail with LogCorrupt.
 
-    A torn record at the end of the log file is removed.
+    A blank folder gets an identity. A torn record at the end of the log file is
+    removed.
     """
-    recovered = RecoveredState(read_or_create_identity(folder, vm))
+    read_or_create_identity(folder, vm)
+    recovered = read_data_folder(folder)
+    if recovered.is_ok():
+        remove_torn_record(folder, recovered.ok)
+    return recovered
+
+
+def read_data_folder(folder: Path) -> Result[RecoveredState, Failure]:
+    """Read the state in a data folder without changing the folder.
+
+    Fail with DataFolderBlank or LogCorrupt.
+    """
+    if not (folder / IDENTITY_FILE).exists():
+        return Error(DataFolderBlank(str(folder)))
+    recovered = RecoveredState(NodeId((folder / IDENTITY_FILE).read_text()))
     snapshot = read_records(folder / SNAPSHOT_FILE)
     if snapshot.is_error() or snapshot.ok.torn:
         return Error(LogCorrupt(SNAPSHOT_FILE))
@@ -128,13 +165,20 @@
     if batches.is_error():
         return Error(batches.error)
     if batches.ok.torn:
-        emit(LOG_TAIL_TRUNCATED, at=batches.ok.end)
-        _truncate_file(folder / LOG_FILE, batches.ok.end)
+        recovered.torn_at = batches.ok.end
     for batch in batches.ok.messages:
         _replay(recovered, batch)
     return Ok(recovered)
 
 
+def remove_torn_record(folder: Path, recovered: RecoveredState) -> None:
+    """Remove the incomplete record at the end of the log file, if there is one."""
+    if recovered.torn_at is None:
+        return
+    emit(LOG_TAIL_TRUNCATED, at=recovered.torn_at)
+    _truncate_file(folder / LOG_FILE, recovered.torn_at)
+
+
 def _truncate_file(path: Path, end: int) -> None:
     with path.open("r+b") as stream:
         stream.truncate(end)
--- a/src/snipecart/control/factory.py
+++ b/src/snipecart/control/factory.py
@@ -108,7 +108,7 @@
     if snapshot is None:
         log = Log()
     elif entries and entries[0].index <= snapshot.index:
-        first = entries.pop(0)
+        first, entries = entries[0], entries[1:]
         log = Log(first.index, first.term)
     else:
         log = Log(snapshot.index, snapshot.index_term)
--- a/src/snipecart/core/failures.py
+++ b/src/snipecart/core/failures.py
@@ -337,6 +337,24 @@
     """Report a stored record that was synced to disk and can't be read back."""
 
 
+class DataFolderInUse(Failure):
+    """Refuse to read or change a data folder that a running process has locked."""
+
+    category = Category.CONFLICT
+
+
+class DataFolderBlank(Failure):
+    """Refuse a folder in which no control process has stored its identity."""
+
+    category = Category.NOT_FOUND
+
+
+class DataFolderFailed(Failure):
+    """Report an operating system error while a data folder was read or written."""
+
+    category = Category.UNAVAILABLE
+
+
 @dataclass(frozen=True)
 class Fault:
     """Describe one fault in a JSON document by its path, kind and explanation."""
