Let operators recover a log whose quorum is lost for good

Cause: a voter that is gone leaves the quorum within seconds, but only while a quorum is left to decide it. If too many data folders are lost at once, the survivors can never elect a leader, and the pages said that the log was lost although it lay on their disks.

Not covered: a quorum of old voters that returns.

--- a/src/snipecart/cli/control.py
+++ b/src/snipecart/cli/control.py
@@ -21,6 +21,7 @@
 from ..program.run import run_until_stopped
 from ..program.settings import ControlSettings
 from .options import SETTINGS_FILE
+from .recovery import recover
 from .recovery import show_log
 
 if TYPE_CHECKING:
@@ -80,3 +81,4 @@
 
 
 main.add_command(show_log)
+main.add_command(recover)
--- a/src/snipecart/control/disk/store.py
+++ b/src/snipecart/control/disk/store.py
@@ -4,6 +4,7 @@
 
 import fcntl
 import uuid
+from contextlib import closing
 from contextlib import contextmanager
 from contextlib import suppress
 from dataclasses import dataclass
@@ -179,6 +180,17 @@
     _truncate_file(folder / LOG_FILE, recovered.torn_at)
 
 
+def append_batch(folder: Path, recovered: RecoveredState, batch: DiskBatch) -> None:
+    """Append a batch to a log that no process uses, and make it durable.
+
+    It is a single record: after a crash, the log has either all or nothing of it.
+    """
+    remove_torn_record(folder, recovered)
+    with closing(Store(folder)) as store:
+        store.write(batch)
+        store.sync()
+
+
 def _truncate_file(path: Path, end: int) -> None:
     with path.open("r+b") as stream:
         stream.truncate(end)
--- a/src/snipecart/core/events.py
+++ b/src/snipecart/core/events.py
@@ -85,6 +85,9 @@
 ELECTION_FAILED = register_event(
     2013, logbook.WARNING, "no leader elected, too few votes"
 )
+LOG_RECOVERED = register_event(
+    2014, logbook.WARNING, "log recovered by an operator, it has a single voter"
+)
 TEXT_ACCEPTED = register_event(2101, logbook.NOTICE, "configuration accepted")
 TEXT_IN_FORCE = register_event(3001, logbook.NOTICE, "configuration in force")
 CONTROL_CUT_OFF = register_event(
--- a/src/snipecart/core/failures.py
+++ b/src/snipecart/core/failures.py
@@ -355,6 +355,14 @@
     category = Category.UNAVAILABLE
 
 
+class NeverMember(Failure):
+    """Refuse to recover the log of a process that it never listed as a member."""
+
+
+class AddressUnknown(Failure):
+    """Refuse to recover a log whose last membership has no address of the process."""
+
+
 @dataclass(frozen=True)
 class Fault:
     """Describe one fault in a JSON document by its path, kind and explanation."""
--- a/tests/cli/test_recovery.py
+++ b/tests/cli/test_recovery.py
@@ -12,6 +12,8 @@
 from snipecart.control.disk.store import Store
 from snipecart.control.disk.store import bootstrap_log
 from snipecart.control.disk.store import lock_data_folder
+from snipecart.control.disk.store import read_data_folder
+from snipecart.messages.commands import ChangeVoters
 from snipecart.messages.commands import Entry
 from snipecart.messages.commands import Node
 from snipecart.messages.commands import PutRouting
@@ -51,6 +53,12 @@
     return {path.name: path.read_bytes() for path in folder.iterdir()}
 
 
+def voters_in(folder):
+    """Return the voters in the last entry of a folder's log."""
+    command = read_data_folder(folder).ok.entries[-1].command
+    return command.voters if isinstance(command, ChangeVoters) else None
+
+
 def test_log_shows_a_folder_and_leaves_it_unchanged(folder):
     before = read_files(folder)
     result = run("log", "--data", folder)
@@ -95,13 +103,52 @@
     assert not blank.exists()
 
 
+def test_recover_says_what_it_does_and_does_it_once_confirmed(folder):
+    result = run("recover", "--data", folder, answer="y\n")
+    assert result.exit_code == Exit.DONE
+    assert "a/founder at host-a:7 becomes the only voter" in result.output
+    assert "removes voter b/founder at host-b:7" in result.output
+    assert "removes voter c/founder at host-c:7" in result.output
+    assert "commits 2 entries not known to be committed" in result.output
+    assert "two logs live side by side" in result.output
+    assert "E2014" in result.stderr
+    assert voters_in(folder) == FOUNDERS[:1]
+
+
+@pytest.mark.parametrize("answer", ["n\n", "\n", ""])
+def test_recover_changes_nothing_unless_confirmed(folder, answer):
+    before = read_files(folder)
+    result = run("recover", "--data", folder, answer=answer)
+    assert result.exit_code == Exit.FAILED
+    assert read_files(folder) == before
+
+
+def test_recover_does_not_ask_with_yes(folder):
+    assert run("recover", "--yes", "--data", folder).exit_code == Exit.DONE
+    assert voters_in(folder) == FOUNDERS[:1]
+
+
+def test_recover_takes_a_stated_address(folder):
+    args = ("--host", "host-x", "--port", "9")
+    assert run("recover", "--yes", "--data", folder, *args).exit_code == Exit.DONE
+    assert voters_in(folder) == (Node("a/founder", "a", "host-x", 9),)
+
+
+@pytest.mark.parametrize("args", [("--host", "host-x"), ("--port", "9")])
+def test_recover_refuses_half_an_address(folder, args):
+    before = read_files(folder)
+    result = run("recover", "--yes", "--data", folder, *args)
+    assert result.exit_code == Exit.USAGE
+    assert read_files(folder) == before
+
+
 def refused(result, folder, reason, code):
     """Return whether a command refused a folder for a reason, with an exit code."""
     line = f"{folder}: refused, {reason}: "
     return line in result.stderr and result.exit_code == code
 
 
-COMMANDS = [("log",)]
+COMMANDS = [("log",), ("recover", "--yes")]
 
 
 @pytest.mark.parametrize("command", COMMANDS)
@@ -142,6 +189,22 @@
     assert refused(result, folder, "data_folder_failed", Exit.FAILED)
 
 
-@pytest.mark.parametrize("name", ["log"])
+def test_recover_refuses_a_node_that_never_was_a_member(folder):
+    (folder / "identity").write_text("d/1")
+    before = read_files(folder)
+    result = run("recover", "--yes", "--data", folder)
+    assert refused(result, folder, "never_member", Exit.USAGE)
+    assert read_files(folder) == before
+
+
+def test_recover_asks_for_an_address_that_the_log_does_not_have(folder):
+    write_entries(folder, Entry(3, 1, 0, ChangeVoters(FOUNDERS[1:], ())))
+    result = run("recover", "--yes", "--data", folder)
+    assert refused(result, folder, "address_unknown", Exit.USAGE)
+    args = ("--host", "host-a", "--port", "7")
+    assert run("recover", "--yes", "--data", folder, *args).exit_code == Exit.DONE
+
+
+@pytest.mark.parametrize("name", ["log", "recover"])
 def test_the_commands_have_help_with_an_example(name):
     assert "Example: snipecart-control" in run(name, "--help").output
