Show that an added voter that is gone stays if no other was added

What operators would see: a control VM that is replaced as planned pauses for some seconds beside its replacement. It ends some time later, and remains a voter: six voters, five alive. Each such coincidence costs the log one of the losses that it can bear.

Cause: it was removed for its replacement, which is a spare no more, and joined again as added. A silent voter is removed only if another added one answers, and there is none.

--- a/tests/control/test_replaced_vms.py
+++ b/tests/control/test_replaced_vms.py
@@ -126,3 +126,20 @@
         acknowledge_change(cluster)
         lose_disk(cluster, others_lose_power=others_lose_power)
         check_recovered(cluster)
+
+
+def test_a_vm_that_is_replaced_as_planned_leaves_though_it_joined_again():
+    # It froze beside its replacement, was removed for it, and came back as added.
+    for seed in SEEDS:
+        cluster = OpenCluster(seed)
+        cluster.run(START_SECONDS)
+        leader = cluster.leader().vm
+        old = next(vm for vm in FOUNDERS if vm != leader)
+        cluster.add_vm("f2", [leader])
+        cluster.run(2.0)
+        cut_off(cluster, old, 6.0)
+        cluster.run(10.0)
+        cluster.remove_vm(old)
+        cluster.run(10.0)
+        voters = {node.vm for node in cluster.leader().state.voters}
+        assert voters == {*FOUNDERS, "f2"} - {old}
