Remove an added voter that is gone, whether or not another was added

What a silent voter needed, another added one that answers, is needed for founding ones only: they say how many voters the log should have at least, and an added one is beyond them.

Change: a silent voter that was added is removed; the one silent for longest first, as before. A founding one still needs an added one that answers. The number of founding voters never changes, so no series of removals leaves fewer than these.

Ruled out: giving the flag back to the voter that replaced it. It would need a memory of which voter stood for which, in the log.

--- a/src/snipecart/control/raft/membership.py
+++ b/src/snipecart/control/raft/membership.py
@@ -130,8 +130,8 @@
     """Propose the next change of the voters, if one is due.
 
     In order of precedence: remove a silent voter if another voter runs on its VM,
-    remove a silent voter if an added VM replaces it, add the nodes that wait to join,
-    promote a learner that has caught up, forget the learners that are gone.
+    remove a silent voter if it was added or an added VM replaces it, add the nodes that
+    wait to join, promote a learner that has caught up, forget learners that are gone.
     """
     if not _can_change_membership(state):
         return []
@@ -162,17 +162,20 @@
 
 
 def _select_remaining_voters(state: RaftState, now: Instant) -> tuple[Node, ...] | None:
-    """Return the voters without the one silent for longest, if an added VM replaces it.
+    """Return the voters without the one silent for longest, if it may be removed.
 
-    An added VM that replaces a founding one loses its ``added`` flag, so that it
+    One that was added may always be, as the log had enough voters without it. Any other
+    needs an added one that replaces it, and that loses its ``added`` flag, so that it
     replaces only one. Return None if nothing changes.
     """
-    added = [node for node in state.voters if node.added]
     silent = [node for node in state.voters if may_be_replaced(state, node, now)]
-    reachable_added = [node for node in added if node not in silent]
-    if not silent or not reachable_added:
+    reachable_added = [
+        node for node in state.voters if node.added and node not in silent
+    ]
+    removable = silent if reachable_added else [node for node in silent if node.added]
+    if not removable:
         return None
-    gone = max(silent, key=lambda node: seconds_silent(state, node, now))
+    gone = max(removable, key=lambda node: seconds_silent(state, node, now))
     remaining = tuple(node for node in state.voters if node != gone)
     if gone.added:
         return remaining
