Let a founding place pass to one node only, the added VM or the blank disk

The learner on the VM of a founding voter inherits its place when it joins, and kept it when an added VM took that place before.

Change: when an added voter takes the place of one that is removed, a learner on the VM of the latter counts as added from then on. It becomes a voter, and may replace a later loss. The number of founding places never changes.

Ruled out: removing such a voter only when its own VM has the new voter. The blank disk may take long to catch up, or be gone again, while the spare answers.

--- a/src/snipecart/control/raft/membership.py
+++ b/src/snipecart/control/raft/membership.py
@@ -141,9 +141,9 @@
         if silent:
             voters = tuple(other for other in state.voters if other != silent[0])
             return _propose_membership(state, voters, state.learners, now)
-    remaining = _select_remaining_voters(state, now)
-    if remaining is not None:
-        return _propose_membership(state, remaining, state.learners, now)
+    removal = _remove_silent_voter(state, now)
+    if removal is not None:
+        return _propose_membership(state, removal.voters, removal.learners, now)
     added = _add_learners(state, now)
     if added:
         return added
@@ -161,12 +161,13 @@
     return seconds_silent(state, learner, now) > timing.FORGET_LEARNER_TIMEOUT
 
 
-def _select_remaining_voters(state: RaftState, now: Instant) -> tuple[Node, ...] | None:
-    """Return the voters without the one silent for longest, if it may be removed.
+def _remove_silent_voter(state: RaftState, now: Instant) -> ChangeVoters | None:
+    """Return the membership without the voter silent for longest, if it may be removed.
 
     One that was added may always be, as the log had enough voters without it. Any other
     needs an added one that replaces it, and that loses its ``added`` flag, so that it
-    replaces only one. Return None if nothing changes.
+    replaces only one; a learner on the VM of the removed one counts as added from then
+    on. Return None if nothing changes.
     """
     silent = [node for node in state.voters if may_be_replaced(state, node, now)]
     reachable_added = [
@@ -178,11 +179,16 @@
     gone = max(removable, key=lambda node: seconds_silent(state, node, now))
     remaining = tuple(node for node in state.voters if node != gone)
     if gone.added:
-        return remaining
+        return ChangeVoters(remaining, state.learners)
     replacement = replace(reachable_added[0], added=False)
-    return tuple(
+    voters = tuple(
         replacement if node == reachable_added[0] else node for node in remaining
     )
+    learners = tuple(
+        replace(node, added=True) if node.vm == gone.vm else node
+        for node in state.learners
+    )
+    return ChangeVoters(voters, learners)
 
 
 def _has_caught_up(state: RaftState, node: Node, now: Instant) -> bool:
