--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -13,6 +13,7 @@
 from contextlib import contextmanager
 from http.server import BaseHTTPRequestHandler
 from http.server import ThreadingHTTPServer
+from itertools import count
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -128,6 +129,9 @@
     def __init__(self, folder: Path, net: str) -> None:
         self.folder, self.net = folder, net
         self.processes: dict[str, subprocess.Popen] = {}
+        self.seeds = ["control-1", "control-2", "control-3"]
+        """Control processes that the settings of the next started process name."""
+        self._control_numbers = count(1)
         follow = urllib3.Retry(
             2, connect=0, read=0, status=0, other=0, respect_retry_after_header=False
         )
@@ -143,7 +147,7 @@
         """Start a program with a settings file as the platform writes it."""
         kind, _, number = name.partition("-")
         zone = list(ZONES)[int(number) % 2]
-        seeds = ",".join(f'"{self.net}.1.{at}:{CONTROL}"' for at in (1, 2, 3))
+        seeds = ",".join(f'"{self.host(seed)}:{CONTROL}"' for seed in self.seeds)
         path = self.folder / f"{name}.toml"
         path.write_text(
             SETTINGS.format(
@@ -171,6 +175,16 @@
                 stderr=log,
             )
 
+    def add_control(self, replaced: str = "", *, bootstrap: bool = False) -> str:
+        """Start a control process at a new address and return its name.
+
+        It takes the place of ``replaced`` among the seeds.
+        """
+        name = f"control-{next(self._control_numbers)}"
+        self.seeds = [name if seed == replaced else seed for seed in self.seeds]
+        self.start(name, bootstrap=bootstrap)
+        return name
+
     def kill(self, name: str, number: int = signal.SIGKILL) -> None:
         """Send a signal to a process and wait for its exit."""
         self.processes[name].send_signal(number)
@@ -239,8 +253,8 @@
     fleet = PlatformFleet(folder, net)
     with ExitStack() as stack:
         stack.callback(_end_all, fleet)
-        for at in range(1, controls + 1):
-            fleet.start(f"control-{at}")
+        for _ in range(controls):
+            fleet.add_control(bootstrap=True)
         for at in range(1, entries + 1):
             fleet.start(f"entry-{at}")
         yield fleet
