Drop log lines that can't be written, and end no process by it

What operators would see: on a full disk that also takes the log, every process there ends with status 1, gateways too, though a control process whose data folder refuses writes is to go on without (docs/OPERATIONS.md).

The write error ended the task that writes log lines, and a failed task ends its process.

Ruled out: the data folder. With the log written to a pipe, a leader whose files can't grow logs 2008, steps down, and goes on with 2009 once they can.

Change: lines that can't be written are counted and dropped. The next line that can be is preceded by 1007 with their count, on a line of its own, as the last one may be torn.

The test failed before (OSError 28), and passes now.

--- a/src/snipecart/program/log.py
+++ b/src/snipecart/program/log.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import time
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 from typing import Any
@@ -28,16 +29,34 @@
 
 
 class LogWriterTask(Task):
-    """Write log lines to standard output, so that logging never blocks other tasks."""
+    """Write log lines to standard output, so that logging never blocks other tasks.
+
+    Lines that can't be written, as on a full disk, are counted and dropped.
+    """
 
     def __init__(self) -> None:
         super().__init__("log", MAX_WAITING_LINES)
+        self._dropped = 0
 
     def handle(self, batch: list[bytes], now: Instant) -> None:
         """Write all waiting lines, in one call if the reader takes them at once."""
-        lines = memoryview(b"".join(batch))
-        while lines:
-            lines = lines[os.write(STDOUT_FD, lines) :]
+        if self._dropped:
+            # The last line may have been written in part only.
+            report = b"\n" + encode_dropped(time.time(), self._dropped)
+            if _count_unwritten(report) == 0:
+                self._dropped = 0
+        self._dropped += _count_unwritten(b"".join(batch))
+
+
+def _count_unwritten(lines: bytes) -> int:
+    """Write lines, and return how many could not be written whole."""
+    rest = memoryview(lines)
+    try:
+        while rest:
+            rest = rest[os.write(STDOUT_FD, rest) :]
+    except OSError:
+        return bytes(rest).count(b"\n")
+    return 0
 
 
 class JsonHandler(logbook.Handler):
@@ -74,15 +93,9 @@
         self._current_second = int(timestamp)
         self._event_counts.clear()
         if self._dropped:
-            fields: dict[str, Any] = {
-                "at": round(timestamp, 3),
-                "event": LOG_LINES_DROPPED.number,
-                "level": logbook.get_level_name(LOG_LINES_DROPPED.level),
-                "what": LOG_LINES_DROPPED.text,
-                "count": self._dropped,
-            }
+            line = encode_dropped(timestamp, self._dropped)
             self._dropped = 0
-            self._writer.post(encode_line(fields))
+            self._writer.post(line)
 
 
 def encode_line(fields: dict[str, Any]) -> bytes:
@@ -90,6 +103,18 @@
     return json.dumps(fields, default=str, separators=(",", ":")).encode() + b"\n"
 
 
+def encode_dropped(timestamp: float, count: int) -> bytes:
+    """Return the line that reports how many lines were dropped."""
+    fields: dict[str, Any] = {
+        "at": round(timestamp, 3),
+        "event": LOG_LINES_DROPPED.number,
+        "level": logbook.get_level_name(LOG_LINES_DROPPED.level),
+        "what": LOG_LINES_DROPPED.text,
+        "count": count,
+    }
+    return encode_line(fields)
+
+
 @contextmanager
 def logging_json(level: str) -> Iterator[None]:
     """Log events of at least ``level`` to standard output until the block ends."""
--- a/tests/program/test_log.py
+++ b/tests/program/test_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import os
 
@@ -10,6 +11,7 @@
 
 from snipecart.core.events import PROGRAM_STARTED
 from snipecart.core.events import emit
+from snipecart.logs.lines import parse_line
 from snipecart.program import log
 from snipecart.program.log import JsonHandler
 from snipecart.program.log import LogWriterTask
@@ -28,6 +30,29 @@
     assert b"".join(written) == b'{"event":1}\n{"event":2}\n'
 
 
+def test_a_full_disk_drops_log_lines_and_ends_no_process(monkeypatch):
+    disk, room = bytearray(), 20
+
+    def write_while_there_is_room(descriptor, data):
+        part = bytes(data[: room - len(disk)])
+        if not part:
+            raise OSError(errno.ENOSPC, "No space left on device")
+        disk.extend(part)
+        return len(part)
+
+    monkeypatch.setattr(os, "write", write_while_there_is_room)
+    writer = LogWriterTask()
+    writer.handle([b'{"event":1}\n', b'{"event":2}\n', b'{"event":3}\n'], 0.0)
+    writer.handle([b'{"event":4}\n'], 0.0)
+    room = 1000
+    writer.handle([b'{"event":5}\n'], 0.0)
+    writer.handle([b'{"event":6}\n'], 0.0)
+    parsed = [parse_line(text, "log") for text in disk.decode().splitlines()]
+    events = [line for line in parsed if line is not None]
+    assert [line.event for line in events] == [1, 1007, 5, 6]
+    assert events[1].fields["count"] == 3
+
+
 @pytest.fixture
 def lines(monkeypatch):
     """Return the lines of a handler that takes two lines of an event in a second."""
