Show a quorum lost to voters that count anew after a loss of power

What operators would see: a VM ends that was replaced as planned; within 3 s all lose power, and one of them its disk; 4 s after their return the VM of the leader is replaced. No leader is elected any more. No message is lost, and each loss alone is one that the log must bear.

Cause: processes that start know nothing of who answered before, so the 3 s for voters that are gone start with the first leadership, 1.2 to 3 s after the return. Six voters, two of them gone, are left at 4 s; with the third one gone, three can't be a quorum of four.

--- a/tests/control/test_replaced_vms.py
+++ b/tests/control/test_replaced_vms.py
@@ -162,3 +162,25 @@
         cluster.run(10.0)
         voters = {node.vm for node in cluster.leader().state.voters}
         assert voters == {*FOUNDERS, "f2"} - {second}
+
+
+@pytest.mark.parametrize("seconds_before", [0.5, 2.0, 4.0])
+def test_voters_that_are_gone_are_removed_within_seconds_of_a_loss_of_power(
+    seconds_before,
+):
+    # A VM that was replaced as planned has just ended, and a disk is lost as well.
+    for seed in SEEDS:
+        cluster = OpenCluster(seed)
+        cluster.run(START_SECONDS)
+        old = cluster.leader().vm
+        cluster.add_vm("f2", [vm for vm in FOUNDERS if vm != old][:3])
+        cluster.run(4.0)
+        acknowledge_change(cluster)
+        cluster.remove_vm(old)
+        cluster.run(seconds_before)
+        lose_disk(cluster, others_lose_power=True)
+        cluster.run(4.0)
+        leader = cluster.leader().vm
+        cluster.remove_vm(leader)
+        cluster.add_vm("g2", list(cluster.processes)[:3])
+        check_recovered(cluster)
