Count the time of voters that are gone from the start of the process

A process that starts knew of no sign of life, and counted the 3 s for each voter from its leadership on.

Change: all voters count as seen when a process starts. A new leader waits for their answers for a second, as before, and then goes on from there.

Weighed: a voter whose VM comes back later than the others by 3 s is removed earlier, if a VM was added; it joins again with its log. Ruled out: writing who answers to the disk, which would add writes and lag by their interval.

--- a/src/snipecart/control/factory.py
+++ b/src/snipecart/control/factory.py
@@ -43,6 +43,7 @@
 from .node import NodeTask
 from .raft.log import Log
 from .raft.replication import extract_memberships
+from .raft.silence import record_start
 from .raft.state import Membership
 from .raft.state import RaftState
 
@@ -81,6 +82,7 @@
     known = min(recovered.commit, state.log.last_index)
     state.commit = state.persisted_commit = LogIndex(max(state.commit, known))
     state.reset_election_timer(now)
+    record_start(state, now)
     return state
 
 
--- a/src/snipecart/control/raft/silence.py
+++ b/src/snipecart/control/raft/silence.py
@@ -15,6 +15,11 @@
     from .state import RaftState
 
 
+def record_start(state: RaftState, now: Instant) -> None:
+    """Count every other voter as seen when this process starts."""
+    state.last_seen = dict.fromkeys(state.voter_ids, now)
+
+
 def record_sign_of_life(state: RaftState, node: NodeId, now: Instant) -> None:
     """Record that a node has just sent a message."""
     state.last_seen[node] = now
@@ -50,7 +55,7 @@
 def seconds_silent(state: RaftState, node: Node, now: Instant) -> float:
     """Return the seconds since the last sign of life of a voter.
 
-    Counted from the start of this leadership if there has been none before.
+    Counted from the start of this leadership if nothing is known of it from before.
     """
     if node.node == state.node_id:
         return 0.0
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -17,6 +17,7 @@
 from snipecart.control.machine.state import apply_entry
 from snipecart.control.machine.state import dump_state
 from snipecart.control.machine.state import load_state
+from snipecart.control.raft.silence import record_start
 from snipecart.control.raft.state import Apply
 from snipecart.control.raft.state import Compact
 from snipecart.control.raft.state import DiskStateChanged
@@ -165,6 +166,7 @@
         now = self.clock(process)
         state.last_leader_contact = now
         state.reset_election_timer(now)
+        record_start(state, now)
         process.state = state
         process.machine = restore_machine(state)
         process.applied = state.commit
