Leave at least three voters in the log

Cause: found while reading the recovery of a log beside the removal of added voters. A recovered log has one voter that founds it anew, and all that join are added ones. A leader could remove those that are silent one by one, in a cut down to itself and one more; what two voters have acknowledged can't be read any more once a disk is lost.

Change: no voter is removed if fewer than three would be left. Three can lose one.

Ruled out: counting the voters of a recovered log as founders as they join, which would have to be told from replacements. The test failed before, and passes now.

--- a/src/snipecart/control/raft/membership.py
+++ b/src/snipecart/control/raft/membership.py
@@ -26,6 +26,9 @@
 from .state import Send
 from .state import step
 
+MIN_VOTERS = 3
+"""Voters that stay in the log; fewer could not lose one of them."""
+
 
 @HANDLERS.register(JoinRequest)
 def handle_join(state: RaftState, req: JoinRequest, now: Instant) -> list[Effect]:
@@ -170,14 +173,14 @@
     One that was added may always be, as the log had enough voters without it. Any other
     needs an added one that replaces it, and that loses its ``added`` flag, so that it
     replaces only one; a learner on the VM of the removed one counts as added from then
-    on. Return None if nothing changes.
+    on. Return None if nothing changes, or if fewer than MIN_VOTERS would be left.
     """
     silent = [node for node in state.voters if may_be_replaced(state, node, now)]
     reachable_added = [
         node for node in state.voters if node.added and node not in silent
     ]
     removable = silent if reachable_added else [node for node in silent if node.added]
-    if not removable:
+    if not removable or len(state.voters) <= MIN_VOTERS:
         return None
     gone = max(removable, key=lambda node: seconds_silent(state, node, now))
     remaining = tuple(node for node in state.voters if node != gone)
--- a/tests/control/test_membership.py
+++ b/tests/control/test_membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -125,6 +126,15 @@
     assert len(leader.voters) == 4
 
 
+def test_a_log_is_left_at_least_three_voters(leader):
+    voters = (VOTERS[0], *(replace(node, added=True) for node in VOTERS[1:]))
+    leader.memberships = [Membership(0, voters, ())]
+    now = Instant(100.0 + timing.REPLACE_VOTER_TIMEOUT + 5)
+    leader.progress["b/1"].confirmed = now
+    maintain_voters(leader, now)
+    assert leader.voters == voters
+
+
 def test_the_voter_that_is_silent_for_longest_is_removed_first(leader):
     now = Instant(100.0 + timing.REPLACE_VOTER_TIMEOUT + 5)
     add_voter(leader, now)
