--- a/tests/control/open_cluster.py
+++ b/tests/control/open_cluster.py
@@ -47,7 +47,11 @@
         super().__init__(seed, founders=founders)
 
     def start(self, vm: str) -> None:
-        """Start a process from the contents of its disk."""
+        """Start a process from the contents of its disk.
+
+        Only its first start can be one at which the system is founded.
+        """
+        self.known[vm].added |= self.now > 0.0
         super().start(vm)
         self.processes[vm].state.open_to_vms = True
         self.known[vm].joined_links = set()
