Answer a peer without a link on its own connection

What operators would see: a control VM that returns after the others have changed stays outside of the log for good, in two ways. A voter that was removed returns with its old log, and the present leader isn't in it. Or a VM loses its disk after all seeds in its settings have been replaced. In both the leader sends to it all the time.

Cause: a process answers over links of its own, which it opens to the seeds and to the members in its log. When both are older than the sender, there is none, and the answer is dropped; as it hears from a leader, the first one doesn't ask to join again either, and the join requests of the second reach nobody.

Change: a process remembers the connection on which a Raft request arrived if it has no link to the sender, and answers there, with join requests, too. Links replace these paths as soon as the log lists the members. The id of a node and its VM, and the sender of a request, are told in one place each now.

Ruled out: taking the answer to a join request for the members although the own log says otherwise; it would mend the first case only. Adding addresses to each request.

The simulation has the paths back as well.

--- a/src/snipecart/control/factory.py
+++ b/src/snipecart/control/factory.py
@@ -17,6 +17,7 @@
 from ..core.ids import LogIndex
 from ..core.ids import NodeId
 from ..core.ids import VmName
+from ..core.ids import vm_of
 from ..core.task import monotonic
 from ..core.task import running
 from ..messages.commands import Node
@@ -53,6 +54,7 @@
 
     from ..core.failures import Failure
     from ..program.settings import ControlSettings
+    from .requests import Reply
 
 
 def initial_voters(cfg: ControlSettings) -> tuple[Node, ...]:
@@ -135,6 +137,8 @@
         self.seeds = initial_voters(cfg)
         self._links: dict[VmName, Link] = {}
         self._nodes: dict[VmName, Node] = {}
+        self._return_paths: dict[VmName, Reply] = {}
+        """Answer VMs without a link here, on the connections from which they send."""
         self.answer_handler: Callable[[Envelope], Any] = _discard
         """Handles answers on these links; peers send requests over their own links."""
 
@@ -145,21 +149,37 @@
         for vm in set(self._links) - set(wanted):
             self._links.pop(vm).stop(0.0)
             del self._nodes[vm]
+        self._return_paths.clear()
         for vm, node in wanted.items():
             before = self._nodes.get(vm)
             if before is None or (before.host, before.port) != (node.host, node.port):
                 self._open(vm, node)
 
+    def add_return_path(self, vm: VmName, reply: Reply) -> None:
+        """Remember how to answer a VM that sends requests, if there is no link to it.
+
+        The log and the settings of this process may be older than that VM.
+        """
+        if vm not in self._links:
+            self._return_paths[vm] = reply
+
     def send(self, to: NodeId, message: Any) -> None:
-        """Send to the VM of one node, or over all links for ALL_NODES."""
+        """Send to the VM of one node, or to all known ones for ALL_NODES."""
         if to == ALL_NODES:
-            encoded = EncodedMessage(encode(message))
-            for link in list(self._links.values()):
-                link.post(encoded)
+            self._send_to_all(message)
             return
-        link = self._links.get(VmName(to.partition("/")[0]))
-        if link is not None:
-            link.post(Envelope(0, message))
+        vm = vm_of(to)
+        if vm in self._links:
+            self._links[vm].post(Envelope(0, message))
+        elif vm in self._return_paths:
+            self._return_paths[vm](message)
+
+    def _send_to_all(self, message: Any) -> None:
+        encoded = EncodedMessage(encode(message))
+        for link in list(self._links.values()):
+            link.post(encoded)
+        for reply in list(self._return_paths.values()):
+            reply(message)
 
     def close(self) -> None:
         """Close all links."""
@@ -193,7 +213,13 @@
     machine = restore_machine(state)
     state.open_to_vms = cfg.open_to_vms
     own_node = Node(recovered.node, cfg.vm, cfg.host, cfg.peer_port, not cfg.founding)
-    outputs = NodeOutputs(links.send, persist, links.update_links, discovery.post)
+    outputs = NodeOutputs(
+        links.send,
+        persist,
+        links.update_links,
+        discovery.post,
+        links.add_return_path,
+    )
     return NodeTask(state, machine, own_node, outputs)
 
 
--- a/src/snipecart/control/node.py
+++ b/src/snipecart/control/node.py
@@ -18,12 +18,14 @@
 from ..core.ids import Instant
 from ..core.ids import LogIndex
 from ..core.ids import NodeId
+from ..core.ids import vm_of
 from ..core.message import payload_size
 from ..core.states import Role
 from ..core.task import Task
 from ..messages.commands import Node
 from ..messages.commands import Refused
 from ..messages.discovery import RecordDepartures
+from ..messages.raft import sender_of
 from ..text.parse import parse_text
 from ..wire.links import IncomingMessage
 from . import raft
@@ -43,11 +45,13 @@
 from .raft.state import step
 from .requests import REQUESTS
 from .requests import LeaderWaiter
+from .requests import Reply
 from .requests import make_refusal
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..core.ids import VmName
     from ..messages.discovery import Departure
     from ..text.model import Text
     from .machine.state import RecordedDeparture
@@ -82,6 +86,8 @@
     update_links: Callable[[tuple[Node, ...]], Any]
     publish: Callable[[CommittedState], Any] = lambda committed_state: None
     """Called when the part of the replicated state that gateways need has changed."""
+    add_return_path: Callable[[VmName, Reply], Any] = lambda vm, reply: None
+    """Called with each VM that sent a request, and how to answer it."""
 
 
 class DiskQueueFull(Exception):
@@ -148,6 +154,9 @@
         elif type(message.message) in REQUESTS:
             REQUESTS.get(type(message.message))(self, message, now)
         elif type(message.message) in HANDLERS:
+            sender = sender_of(message.message)
+            if sender:
+                self.outputs.add_return_path(vm_of(sender), message.reply)
             self.run(step(self.state, message.message, now), now)
         else:
             message.reply(Refused("peer_message_invalid", "unknown request type"))
--- a/src/snipecart/control/pages.py
+++ b/src/snipecart/control/pages.py
@@ -19,6 +19,7 @@
 from ..core.failures import VersionConflict
 from ..core.ids import SubmissionId
 from ..core.ids import TextVersion
+from ..core.ids import vm_of
 from ..core.numbers import parse_count
 from ..core.states import SubmitVerdict
 from ..messages.commands import Refused
@@ -126,7 +127,7 @@
         return Ok(answer)
 
     def _leader_address(self, status: NodeStatus) -> str:
-        return self._http_addresses.get(status.leader.partition("/")[0], "")
+        return self._http_addresses.get(vm_of(status.leader), "")
 
 
 def _describe_status(
@@ -136,7 +137,7 @@
         "node": status.node,
         "role": status.role,
         "leader": status.leader,
-        "leader_web": http_addresses.get(status.leader.partition("/")[0], ""),
+        "leader_web": http_addresses.get(vm_of(status.leader), ""),
         "confirmed": status.confirmed,
         "term": status.term,
         "commit": status.commit,
--- a/src/snipecart/control/raft/state.py
+++ b/src/snipecart/control/raft/state.py
@@ -17,6 +17,7 @@
 from ...core.states import DiskState
 from ...core.states import Role
 from ...messages.raft import DiskBatch
+from ...messages.raft import sender_of
 from . import timing
 from .log import Log
 
@@ -344,8 +345,6 @@
     Messages are addressed by VM, so a request that this process sends to an earlier
     identity of its own VM arrives here again; it is ignored.
     """
-    if getattr(event, "leader", None) == state.node_id:
-        return []
-    if getattr(event, "candidate", None) == state.node_id:
+    if sender_of(event) == state.node_id:
         return []
     return HANDLERS.get(type(event))(state, event, now)
--- a/src/snipecart/control/recovery.py
+++ b/src/snipecart/control/recovery.py
@@ -16,7 +16,7 @@
 from ..core.ids import NodeId
 from ..core.ids import Term
 from ..core.ids import UnixMillis
-from ..core.ids import VmName
+from ..core.ids import vm_of
 from ..messages.commands import ChangeVoters
 from ..messages.commands import Entry
 from ..messages.commands import Node
@@ -35,6 +35,7 @@
     from ..core.failures import Failure
     from ..core.ids import RoutingVersion
     from ..core.ids import TextVersion
+    from ..core.ids import VmName
     from .disk.store import RecoveredState
     from .machine.state import MachineState
     from .raft.state import RaftState
@@ -102,11 +103,6 @@
     batch: DiskBatch
 
 
-def vm_of(node: NodeId) -> VmName:
-    """Return the VM on whose disk a node id was stored first."""
-    return VmName(node.partition("/")[0])
-
-
 def summarize_log(recovered: RecoveredState) -> Result[LogSummary, Failure]:
     """Describe a log that was read from disk; fail with LogCorrupt."""
     return _restore(recovered).map(lambda state: _summarize(recovered, state))
--- a/src/snipecart/core/ids.py
+++ b/src/snipecart/core/ids.py
@@ -12,7 +12,10 @@
 """Name of a VM of the system, from its settings."""
 
 NodeId = NewType("NodeId", str)
-"""Id of a control process, stored on its disk; a blank disk gets a new id."""
+"""Id of a control process, stored on its disk; a blank disk gets a new id.
+
+It starts with the VM on which it was stored first, and a slash.
+"""
 
 MemberId = NewType("MemberId", str)
 """Id of one run of an entry process; each start gets a new id."""
@@ -71,3 +74,8 @@
 
 UnixSeconds = NewType("UnixSeconds", float)
 """Wall-clock time in seconds since the Unix epoch, 1970."""
+
+
+def vm_of(node: NodeId) -> VmName:
+    """Return the VM on whose disk a node id was stored first."""
+    return VmName(node.partition("/")[0])
--- a/src/snipecart/messages/raft.py
+++ b/src/snipecart/messages/raft.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from ..core.ids import LogIndex
 from ..core.ids import Millis
 from ..core.ids import NodeId
@@ -125,3 +127,12 @@
     voters: tuple[Node, ...]
     learners: tuple[Node, ...]
     state: bytes
+
+
+def sender_of(req: Any) -> NodeId:
+    """Return the process that sent a request of the Raft protocol, or an empty id."""
+    if isinstance(req, AppendRequest | SnapshotRequest):
+        return req.leader
+    if isinstance(req, VoteRequest):
+        return req.candidate
+    return NodeId("")
--- a/tests/control/open_cluster.py
+++ b/tests/control/open_cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -14,6 +15,7 @@
 from snipecart.messages.commands import Node
 from snipecart.messages.raft import JoinAnswer
 from snipecart.messages.raft import JoinRequest
+from snipecart.messages.raft import sender_of
 
 from .cluster import Cluster
 from .cluster import Disk
@@ -34,6 +36,9 @@
     added: bool
     joined_links: set[str]
     """VMs that an answer to a join request named; forgotten when it starts again."""
+    return_paths: dict[str, Any] = field(default_factory=dict)
+    """States of the VMs that sent requests since it started, whose connections exist
+    until one of them starts again."""
     join_due: float = 0.0
 
 
@@ -55,6 +60,7 @@
         super().start(vm)
         self.processes[vm].state.open_to_vms = True
         self.known[vm].joined_links = set()
+        self.known[vm].return_paths = {}
 
     def add_vm(self, vm: str, seeds: Iterable[str]) -> None:
         """Start a control process on a new VM with a blank disk."""
@@ -91,7 +97,7 @@
             return
         known.join_due = now + JOIN_INTERVAL
         own_node = Node(state.node_id, process.vm, process.vm, 1, known.added)
-        for vm in sorted(self.links(process)):
+        for vm in sorted(self.links(process) | self.paths_back(process)):
             self.send(process.vm, vm, make_join_request(state, own_node))
 
     def send(self, source: str, target: str, message: Any) -> None:
@@ -99,9 +105,27 @@
         process = self.processes.get(source)
         if process is None or process.state is None:
             return
-        if isinstance(message, JoinAnswer) or target in self.links(process):
+        is_linked = isinstance(message, JoinAnswer) or target in self.links(process)
+        if is_linked or target in self.paths_back(process):
             super().send(source, target, message)
 
+    def paths_back(self, process: Process) -> set[str]:
+        """Return the VMs that a process can answer on their own connections."""
+        paths = self.known[process.vm].return_paths
+        return {
+            vm
+            for vm, state in paths.items()
+            if vm in self.processes and self.processes[vm].state is state
+        }
+
+    def arrive(self, source: str, target: str, message: Any) -> None:
+        """Deliver a message unless its link is cut; requests show a path back."""
+        sender = self.processes.get(source)
+        is_cut = (source, target) in self.cut_links
+        if sender_of(message) and sender is not None and not is_cut:
+            self.known[target].return_paths[source] = sender.state
+        super().arrive(source, target, message)
+
     def handle_event(self, process: Process, event: Any) -> None:
         """Pass an event to a process, and answer join requests with the members."""
         if isinstance(event, JoinAnswer):
