Replace control VMs in the soak

Change: two faults. A control process is killed for good, and an empty one starts at a new address 1 s later; or the empty one starts first, and the old one gets SIGTERM. The next loss comes no sooner than 4 s after the replacement answers. A new check asks for a change that is acknowledged and read back within 15 s once all faults are over. Reports tell what was done beside what was drawn, as a fault that finds no free process does nothing.

Ruled out: that the check finds only a log that is slow; it has 15 s after 4 s of rest.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -267,6 +267,13 @@
             yield f"{gateway} served {served} of 10"
 
 
+@CHECKS.register("the log takes changes after the faults")
+def check_log(history: History) -> Iterator[str]:
+    """Find a log that takes no change, or returns another one, after all faults."""
+    if not history.changed_at_end:
+        yield "no change was acknowledged and read back in time"
+
+
 def _gateway_name(address: str) -> str:
     """Return the name of the gateway at an address."""
     return f"entry-{address.rpartition('.')[2]}"
--- /dev/null
+++ b/tests/soak/control_faults.py
@@ -0,0 +1,56 @@
+"""Inject faults that lose control VMs for good, one at a time."""
+
+from __future__ import annotations
+
+import signal
+import time
+from typing import TYPE_CHECKING
+
+from .checks import CORE
+from .faults import FAULTS
+from .faults import STOP_SECONDS
+from .faults import disturbing
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from .world import World
+
+JOIN_SECONDS = 4.0
+"""Time for which a replacement may join before another VM or disk is lost."""
+
+REPLACE_SECONDS = 1.0
+"""Time from the loss of a VM to the start of its replacement."""
+
+
+def _join(world: World, name: str) -> None:
+    world.wait_until_up(name)
+    time.sleep(JOIN_SECONDS)
+
+
+@FAULTS.register("replace a control VM")
+def replace_control(world: World, rng: Random) -> None:
+    """Kill a control process for good, and start an empty one at a new address."""
+    with world.borrow_control(rng) as name:
+        if not name:
+            return
+        with disturbing(world, CORE, f"lose {name}"):
+            world.end(name, signal.SIGKILL)
+            time.sleep(REPLACE_SECONDS)
+            new = world.fleet.add_control(name)
+            _join(world, new)
+        world.swap_control(name, new)
+
+
+@FAULTS.register("replace a control VM as planned")
+def replace_control_planned(world: World, rng: Random) -> None:
+    """Start an empty control process at a new address, and then stop an old one."""
+    with world.borrow_control(rng) as name:
+        if not name:
+            return
+        with disturbing(world, CORE, f"replace {name}"):
+            new = world.fleet.add_control(name)
+            _join(world, new)
+            world.end(name, signal.SIGTERM, STOP_SECONDS)
+            time.sleep(JOIN_SECONDS)
+        world.swap_control(name, new)
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -150,6 +150,8 @@
     exits: list[OwnExit] = field(default_factory=list)
     served_at_end: dict[ProcessName, int] = field(default_factory=dict)
     """Of ten requests to each gateway after all faults, how many were served."""
+    changed_at_end: bool = True
+    """Whether a change was acknowledged and read back in time after all faults."""
 
     def add(self, record: Any) -> None:
         """Add a record to the list of its type."""
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -17,6 +17,7 @@
 from .history import Version
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from tests.platform.fleet import PlatformFleet
@@ -118,6 +119,23 @@
             self.acknowledged = change
         return change
 
+    def changes_within(self, seconds: float) -> bool:
+        """Return whether a new version is acknowledged and read back in a time."""
+        end = time.monotonic() + seconds
+        newest = self._try_until(end, lambda: self._accepted(self.change()))
+        read = newest and self._try_until(end, self.read)
+        return bool(read) and read.version == newest.version
+
+    def _accepted(self, change: Change) -> Change | None:
+        return change if change.status == 200 else None
+
+    def _try_until(self, end: float, call: Callable[[], Any]) -> Any:
+        """Repeat a call until it returns something, or the time is over."""
+        result = None
+        while result is None and time.monotonic() < end:
+            result = call()
+        return result
+
     def resend(self) -> None:
         """Send the version that was acknowledged last once more."""
         last = self.acknowledged
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from .checks import CHECKS
-from .faults import FAULTS
+from .control_faults import FAULTS
 from .history import Ending
 from .world import DEFAULT_NET
 from .world import running_world
@@ -39,6 +39,9 @@
 
     seed: int
     faults: Counter[str] = field(default_factory=Counter)
+    """Faults that were started; those that found no free process did nothing."""
+    disturbances: Counter[str] = field(default_factory=Counter)
+    """What processes suffered."""
     violations: dict[str, list[str]] = field(default_factory=dict)
     endings: Counter[str] = field(default_factory=Counter)
     runs: int = 0
@@ -57,6 +60,9 @@
             f" {dict(sorted(self.endings.items()))}"
         ]
         lines += [f"  fault {name}: {n}" for name, n in sorted(self.faults.items())]
+        lines += [
+            f"  {name}: {n} times" for name, n in sorted(self.disturbances.items())
+        ]
         for name, found in self.violations.items():
             lines.append(f"  check {name}: {len(found)} violations")
             lines += [f"    {line}" for line in found[:MAX_SHOWN]]
@@ -67,17 +73,21 @@
     seed: int,
     seconds: float,
     folder: Path,
+    controls: int = 3,
     gateways: int = 3,
     net: str = DEFAULT_NET,
     faults: Sequence[str] = ALL_FAULTS,
 ) -> Report:
     """Run one soak with some kinds of faults, and check its history."""
     rng, report = Random(seed), Report(seed)
-    with running_world(folder, rng, gateways, net) as world:
+    with running_world(folder, rng, controls, gateways, net) as world:
         _inject_faults(world, rng, seconds, faults, report)
     history: History = world.recorder.history
     report.violations = {name: list(CHECKS.get(name)(history)) for name in CHECKS}
     report.endings.update(_describe(history))
+    report.disturbances.update(
+        item.fault.partition(" control-")[0] for item in history.disturbances
+    )
     report.runs, report.changes = len(history.runs), len(history.changes)
     return report
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -115,8 +115,14 @@
     assert violated(history) == {"all serve after the faults"}
 
 
+def test_a_log_that_takes_no_change_at_the_end_is_found():
+    history = History(changed_at_end=False)
+    assert violated(history) == {"the log takes changes after the faults"}
+
+
 def test_every_check_has_a_planted_violation():
-    assert {*PLANTED, "all serve after the faults"} == set(CHECKS)
+    at_end = {"all serve after the faults", "the log takes changes after the faults"}
+    assert {*PLANTED, *at_end} == set(CHECKS)
 
 
 def test_a_history_that_keeps_all_promises_violates_no_check():
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,7 +11,15 @@
 LATER_FAULTS = ("spoil load reports", "answer without end", "deliver a heartbeat late")
 """Faults that seed 11 did not draw from when it failed."""
 
-EARLIER_FAULTS = tuple(name for name in ALL_FAULTS if name not in LATER_FAULTS)
+NEW_FAULTS = (
+    "replace a control VM",
+    "replace a control VM as planned",
+)
+"""Faults that the other cases don't draw from, so that these keep theirs."""
+
+EARLIER_FAULTS = tuple(
+    name for name in ALL_FAULTS if name not in (*LATER_FAULTS, *NEW_FAULTS)
+)
 
 
 def test_a_short_soak_finds_no_violation(tmp_path):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -55,6 +55,9 @@
 UP_SECONDS = 20.0
 """Time in which a process must be up again."""
 
+RECOVERY_SECONDS = 15.0
+"""Time in which a change must be acknowledged and read back after all faults."""
+
 SETTLE_SECONDS = 4.0
 """Time after the last fault before gateways are asked whether they serve."""
 
@@ -204,6 +207,11 @@
         with self._borrowing(self.controls, 1, rng) as name:
             yield name
 
+    def swap_control(self, old: str, new: str) -> None:
+        """Lend a new control process to faults instead of one that is gone."""
+        with self._lock:
+            self.controls[self.controls.index(old)] = new
+
     @contextmanager
     def _borrowing(self, among: list[str], most: int, rng: Random) -> Iterator[str]:
         with self._lock:
@@ -247,13 +255,13 @@
 
 @contextmanager
 def running_world(
-    folder: Path, rng: Random, gateways: int, net: str, clients: int = CLIENTS
+    folder: Path, rng: Random, controls: int, gateways: int, net: str
 ) -> Iterator[World]:
     """Run a world until the block ends, with its clients and operator."""
     recorder = RecorderTask()
     with (
         running(recorder),
-        platform_fleet(folder, net, entries=gateways) as fleet,
+        platform_fleet(folder, net, controls, gateways) as fleet,
     ):
         world = World(fleet, rng, recorder)
         operator = Operator(fleet, rng, recorder)
@@ -267,7 +275,7 @@
         exits = threading.Thread(target=world.watch_exits, daemon=True)
         exits.start()
         callers = [
-            Client(world.fronts, Random(rng.random()), recorder) for _ in range(clients)
+            Client(world.fronts, Random(rng.random()), recorder) for _ in range(CLIENTS)
         ]
         operator.thread.start()
         for caller in callers:
@@ -290,6 +298,7 @@
     history: History = world.recorder.history
     history.served_at_end = world.ask_all()
     operator.read()
+    history.changed_at_end = operator.changes_within(RECOVERY_SECONDS)
     world.stopping.set()
     for server in list(world.servers):
         server.close()
