Lose the disks of control processes in the soak

Change: a control process is killed, its data folder is deleted, and it starts again up to 2 s later.

--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -185,6 +186,10 @@
         self.start(name, bootstrap=bootstrap)
         return name
 
+    def lose_data(self, name: str) -> None:
+        """Delete the data folder of a process that doesn't run, if it has one."""
+        shutil.rmtree(self.folder / "data" / name, ignore_errors=True)
+
     def kill(self, name: str, number: int = signal.SIGKILL) -> None:
         """Send a signal to a process and wait for its exit."""
         self.processes[name].send_signal(number)
--- a/tests/process/test_replaced_control.py
+++ b/tests/process/test_replaced_control.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import shutil
 import signal
 import threading
 import time
@@ -111,15 +110,15 @@
     return table
 
 
-def lose_power(fleet, lost_folder=""):
+def lose_power(fleet, lost_disk=""):
     """Kill all processes at the same moment, and start them a while later."""
     everyone = list(fleet.processes)
     for name in everyone:
         fleet.processes[name].send_signal(signal.SIGKILL)
     for name in everyone:
         fleet.processes.pop(name).wait(20)
-    if lost_folder:
-        shutil.rmtree(fleet.folder / "data" / lost_folder)
+    if lost_disk:
+        fleet.lose_data(lost_disk)
     time.sleep(POWER_OFF_SECONDS)
     for name in everyone:
         fleet.start(name, bootstrap=False)
@@ -185,7 +184,7 @@
             fleet.add_control(lost)
             time.sleep(lost_at + PACE_SECONDS - time.monotonic())
         newest = put_table(fleet, 2, NEWER_SERVICE)
-        lose_power(fleet, lost_folder=find_leader(fleet))
+        lose_power(fleet, lost_disk=find_leader(fleet))
         check_recovery(fleet, servers, newest)
 
 
--- a/tests/soak/control_faults.py
+++ b/tests/soak/control_faults.py
@@ -1,4 +1,4 @@
-"""Inject faults that lose control VMs for good, one at a time."""
+"""Inject faults that lose control VMs or their disks for good, one at a time."""
 
 from __future__ import annotations
 
@@ -54,3 +54,17 @@
             world.end(name, signal.SIGTERM, STOP_SECONDS)
             time.sleep(JOIN_SECONDS)
         world.swap_control(name, new)
+
+
+@FAULTS.register("lose a control disk")
+def lose_disk(world: World, rng: Random) -> None:
+    """Kill a control process, and start it again with an empty data folder."""
+    with world.borrow_control(rng) as name:
+        if not name:
+            return
+        with disturbing(world, CORE, f"lose the disk of {name}"):
+            world.end(name, signal.SIGKILL)
+            world.fleet.lose_data(name)
+            time.sleep(2 * rng.random())
+            world.start(name)
+            _join(world, name)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,6 +14,7 @@
 NEW_FAULTS = (
     "replace a control VM",
     "replace a control VM as planned",
+    "lose a control disk",
 )
 """Faults that the other cases don't draw from, so that these keep theirs."""
 
