Let the disks of control processes refuse writes in the soak

Change: the limit of file sizes of a running control process is set to 0 from outside for 1 to 5 s, so that its data folder and its log refuse writes, and lifted again. Checks as for lost disks, and "no process ends by itself".

--- a/tests/soak/control_faults.py
+++ b/tests/soak/control_faults.py
@@ -1,7 +1,8 @@
-"""Inject faults that lose control VMs or their disks for good, one at a time."""
+"""Inject faults that lose control VMs or their disks, one at a time."""
 
 from __future__ import annotations
 
+import resource
 import signal
 import time
 from typing import TYPE_CHECKING
@@ -68,3 +69,16 @@
             time.sleep(2 * rng.random())
             world.start(name)
             _join(world, name)
+
+
+@FAULTS.register("control disk refuses writes")
+def refuse_writes(world: World, rng: Random) -> None:
+    """Let no file of a control process grow for a while."""
+    with world.borrow_control(rng) as name:
+        if not name:
+            return
+        with disturbing(world, CORE, f"refuse the writes of {name}"):
+            world.limit_files(name, 0)
+            time.sleep(1.0 + 4 * rng.random())
+            world.limit_files(name, resource.RLIM_INFINITY)
+            time.sleep(REPLACE_SECONDS)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,6 +15,7 @@
     "replace a control VM",
     "replace a control VM as planned",
     "lose a control disk",
+    "control disk refuses writes",
 )
 """Faults that the other cases don't draw from, so that these keep theirs."""
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import resource
 import signal
 import threading
 import time
@@ -160,6 +161,11 @@
         if number == signal.SIGTERM and code != 0:
             self._record_exit(name, code)
 
+    def limit_files(self, name: str, size: int) -> None:
+        """Let a process write no file beyond a size."""
+        limits = (size, resource.RLIM_INFINITY)
+        resource.prlimit(self.fleet.processes[name].pid, resource.RLIMIT_FSIZE, limits)
+
     def signal(self, name: str, number: int) -> None:
         """Send a signal that doesn't end a process."""
         self.fleet.processes[name].send_signal(number)
