Take the power from all processes at once in the soak

Change: the fault waits until all others have given their processes back, kills all at once, loses one data folder in half of the cases, and starts all again 0.5 to 1.5 s later. A new check finds runs after that by a service to which only versions older than the newest acknowledged one send the route. It takes no fault as an excuse, as a gateway that lost its version may take no older one.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -183,6 +183,24 @@
             yield f"{run.request} at {attempt.gateway} ran by {run.service}"
 
 
+@CHECKS.register("no older version serves after a loss of power")
+def check_power_losses(history: History) -> Iterator[str]:
+    """Find runs after a loss of all power by a service of older versions only.
+
+    No fault is an excuse: a gateway that lost its version may take no older one.
+    """
+    attempts = {item.request: item for item in history.attempts}
+    for loss in history.power_losses:
+        for run in history.runs:
+            attempt = attempts.get(run.request)
+            if attempt is None or attempt.sent_at < loss.started_at:
+                continue
+            allowed = _changes_from(history, loss.lost_at, run.at)
+            services = {item.service for item in allowed}
+            if run.path.startswith("/move/") and run.service not in services:
+                yield f"{run.request} at {attempt.gateway} ran by {run.service}"
+
+
 @CHECKS.register("no older version is read")
 def check_reads(history: History) -> Iterator[str]:
     """Find reads that return an older version than one acknowledged before."""
@@ -301,11 +319,18 @@
     Those are the newest one acknowledged APPLY_SECONDS before, and all that were sent
     with a higher version until the request ended.
     """
+    return _changes_from(history, sent_at - APPLY_SECONDS, until)
+
+
+def _changes_from(
+    history: History, acknowledged_by: float, until: float
+) -> list[Change]:
+    """Return the newest change acknowledged by a time, and higher ones sent since."""
     valid = [item for item in history.changes if item.valid and item.sent_at <= until]
     acknowledged = [
         item.version
         for item in valid
-        if item.status == 200 and item.ended_at < sent_at - APPLY_SECONDS
+        if item.status == 200 and item.ended_at < acknowledged_by
     ]
     newest = max(acknowledged, default=0)
     return [item for item in valid if item.version >= newest] if acknowledged else []
--- a/tests/soak/control_faults.py
+++ b/tests/soak/control_faults.py
@@ -1,16 +1,19 @@
-"""Inject faults that lose control VMs or their disks, one at a time."""
+"""Inject faults that lose control VMs, their disks, or all power."""
 
 from __future__ import annotations
 
 import resource
 import signal
 import time
+from contextlib import ExitStack
 from typing import TYPE_CHECKING
 
 from .checks import CORE
 from .faults import FAULTS
 from .faults import STOP_SECONDS
 from .faults import disturbing
+from .history import PowerLoss
+from .history import Seconds
 
 if TYPE_CHECKING:
     from random import Random
@@ -23,6 +26,11 @@
 REPLACE_SECONDS = 1.0
 """Time from the loss of a VM to the start of its replacement."""
 
+LOST_DISK_PROBABILITY = 0.5
+"""Probability that one data folder is lost with the power."""
+
+MIN_POWER_OFF_SECONDS = 0.5
+
 
 def _join(world: World, name: str) -> None:
     world.wait_until_up(name)
@@ -82,3 +90,26 @@
             time.sleep(1.0 + 4 * rng.random())
             world.limit_files(name, resource.RLIM_INFINITY)
             time.sleep(REPLACE_SECONDS)
+
+
+@FAULTS.register("lose power")
+def lose_power(world: World, rng: Random) -> None:
+    """Kill all processes at the same moment, and at times lose one data folder."""
+    with world.borrow_all() as names, ExitStack() as stack:
+        if not names:
+            return
+        for gateway in world.gateways:
+            stack.enter_context(disturbing(world, gateway, "lose power"))
+        stack.enter_context(disturbing(world, CORE, "lose power"))
+        lost_at = Seconds(time.monotonic())
+        world.end_all(names)
+        if rng.random() < LOST_DISK_PROBABILITY:
+            world.fleet.lose_data(rng.choice(world.controls))
+        time.sleep(MIN_POWER_OFF_SECONDS + rng.random())
+        started_at = Seconds(time.monotonic())
+        for name in names:
+            world.start(name)
+        world.recorder.post(PowerLoss(lost_at, started_at))
+        for name in names:
+            world.wait_until_up(name)
+        time.sleep(JOIN_SECONDS)
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -127,6 +127,14 @@
     """Whether the process may cut off requests then; a planned stop may not."""
 
 
+@dataclass(frozen=True)
+class PowerLoss:
+    """Record that all processes were killed at once and started again."""
+
+    lost_at: Seconds
+    started_at: Seconds
+
+
 @dataclass(frozen=True)
 class OwnExit:
     """Record that a process ended without a signal of the soak."""
@@ -147,6 +155,7 @@
     changes: list[Change] = field(default_factory=list)
     reads: list[ReadBack] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
+    power_losses: list[PowerLoss] = field(default_factory=list)
     exits: list[OwnExit] = field(default_factory=list)
     served_at_end: dict[ProcessName, int] = field(default_factory=dict)
     """Of ten requests to each gateway after all faults, how many were served."""
@@ -163,6 +172,7 @@
             Change: self.changes,
             ReadBack: self.reads,
             Disturbance: self.disturbances,
+            PowerLoss: self.power_losses,
             OwnExit: self.exits,
         }
         lists[type(record)].append(record)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -18,6 +18,7 @@
 from .history import History
 from .history import OwnExit
 from .history import Pause
+from .history import PowerLoss
 from .history import ReadBack
 from .history import Run
 from .servers import sign
@@ -76,6 +77,13 @@
         for at in range(100)
     ],
     "changes in force": [CHANGE, replace(MOVED, status=0), MOVED_RUN],
+    "no older version serves after a loss of power": [
+        CHANGE,
+        PowerLoss(20.0, 99.0),
+        Disturbance("entry-1", "lose power", 20.0, 105.0, True),
+        replace(MOVED, status=0),
+        MOVED_RUN,
+    ],
     "no older version is read": [
         CHANGE,
         replace(CHANGE, version=5),
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,7 @@
     "replace a control VM as planned",
     "lose a control disk",
     "control disk refuses writes",
+    "lose power",
 )
 """Faults that the other cases don't draw from, so that these keep theirs."""
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -79,6 +79,8 @@
         self._numbers = iter(range(1, 3000))
         self._lock = threading.Lock()
         self._borrowed: set[str] = set()
+        self._lends_no_more = False
+        """Whether a fault waits for all processes."""
         self._down: set[str] = set()
         self.stopping = threading.Event()
 
@@ -161,6 +163,15 @@
         if number == signal.SIGTERM and code != 0:
             self._record_exit(name, code)
 
+    def end_all(self, names: list[str]) -> None:
+        """Kill processes at the same moment."""
+        self._down.update(names)
+        processes = [self.fleet.processes.pop(name) for name in names]
+        for process in processes:
+            process.kill()
+        for process in processes:
+            process.wait(20)
+
     def limit_files(self, name: str, size: int) -> None:
         """Let a process write no file beyond a size."""
         limits = (size, resource.RLIM_INFINITY)
@@ -222,7 +233,8 @@
     def _borrowing(self, among: list[str], most: int, rng: Random) -> Iterator[str]:
         with self._lock:
             free = [name for name in among if name not in self._borrowed]
-            name = rng.choice(free) if len(among) - len(free) < most else ""
+            may_lend = not self._lends_no_more and len(among) - len(free) < most
+            name = rng.choice(free) if may_lend else ""
             if name:
                 self._borrowed.add(name)
         try:
@@ -235,7 +247,7 @@
     def borrow_all_control(self) -> Iterator[list[str]]:
         """Lend all control processes to one fault; none if one is lent already."""
         with self._lock:
-            free = not self._borrowed & set(self.controls)
+            free = not self._lends_no_more and not self._borrowed & set(self.controls)
             lent = list(self.controls) if free else []
             self._borrowed.update(lent)
         try:
@@ -244,6 +256,25 @@
             with self._lock:
                 self._borrowed.difference_update(lent)
 
+    @contextmanager
+    def borrow_all(self) -> Iterator[list[str]]:
+        """Lend all processes to one fault, after all others have returned theirs.
+
+        None if another fault waits for all processes already.
+        """
+        with self._lock:
+            lent = not self._lends_no_more
+            self._lends_no_more = True
+        if not lent:
+            yield []
+            return
+        try:
+            while self._borrowed:
+                time.sleep(0.05)
+            yield [*self.controls, *self.gateways]
+        finally:
+            self._lends_no_more = False
+
     def ask_all(self) -> dict[ProcessName, int]:
         """Return how many of ten requests each gateway serves."""
         return {
