--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -48,6 +48,12 @@
 LIMIT_WINDOW_SECONDS, LIMIT_OVERAGE, LIMIT_SLACK = 4.0, 1.5, 5
 """Window, ratio and number of requests that a named limit allows."""
 
+EVACUATION_SECONDS = 5.0
+"""Time from the acknowledgement of an evacuation until its zone gets nothing more."""
+
+RECOVERY_SECONDS = 15.0
+"""Time in which all is as before again once a fault is over."""
+
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run and never will."""
 
@@ -168,6 +174,37 @@
                 break
 
 
+@CHECKS.register("evacuated zones get nothing")
+def check_evacuated(history: History) -> Iterator[str]:
+    """Find runs in an evacuated zone, by gateways that could know.
+
+    Faults of control processes are an excuse only until it is in force.
+    """
+    attempts = {item.request: item for item in history.attempts}
+    for item in history.evacuations:
+        in_force_at = item.acknowledged_at + EVACUATION_SECONDS
+        begin = item.acknowledged_at - CONNECTIVITY_SECONDS
+        if history.disturbed(CORE, begin, in_force_at):
+            continue
+        for run in history.runs:
+            attempt = attempts.get(run.request)
+            if attempt is None or run.zone != item.zone:
+                continue
+            begin = attempt.sent_at - CONNECTIVITY_SECONDS
+            if in_force_at < run.at < item.ended_at and not history.disturbed(
+                attempt.gateway, begin, run.at
+            ):
+                yield f"{run.request} at {attempt.gateway} reached {item.zone}"
+
+
+@CHECKS.register("zones are used again after an evacuation")
+def check_restored(history: History) -> Iterator[str]:
+    """Find zones whose servers got no request once their evacuation had ended."""
+    for item in history.evacuations:
+        if item.used_at > item.restored_at + RECOVERY_SECONDS:
+            yield f"{item.zone} got nothing after its evacuation"
+
+
 @CHECKS.register("changes in force")
 def check_changes(history: History) -> Iterator[str]:
     """Find runs by a service to which only older versions send a route."""
@@ -183,6 +220,24 @@
             yield f"{run.request} at {attempt.gateway} ran by {run.service}"
 
 
+@CHECKS.register("no older version serves after a loss of power")
+def check_power_losses(history: History) -> Iterator[str]:
+    """Find runs after a loss of all power by a service of older versions only.
+
+    No fault is an excuse: a gateway that lost its version may take no older one.
+    """
+    attempts = {item.request: item for item in history.attempts}
+    for loss in history.power_losses:
+        for run in history.runs:
+            attempt = attempts.get(run.request)
+            if attempt is None or attempt.sent_at < loss.started_at:
+                continue
+            allowed = _changes_from(history, loss.lost_at, run.at)
+            services = {item.service for item in allowed}
+            if run.path.startswith("/move/") and run.service not in services:
+                yield f"{run.request} at {attempt.gateway} ran by {run.service}"
+
+
 @CHECKS.register("no older version is read")
 def check_reads(history: History) -> Iterator[str]:
     """Find reads that return an older version than one acknowledged before."""
@@ -267,6 +322,13 @@
             yield f"{gateway} served {served} of 10"
 
 
+@CHECKS.register("the log takes changes after the faults")
+def check_log(history: History) -> Iterator[str]:
+    """Find a log that takes no change, or returns another one, after all faults."""
+    if not history.changed_at_end:
+        yield "no change was acknowledged and read back in time"
+
+
 def _gateway_name(address: str) -> str:
     """Return the name of the gateway at an address."""
     return f"entry-{address.rpartition('.')[2]}"
@@ -294,11 +356,18 @@
     Those are the newest one acknowledged APPLY_SECONDS before, and all that were sent
     with a higher version until the request ended.
     """
+    return _changes_from(history, sent_at - APPLY_SECONDS, until)
+
+
+def _changes_from(
+    history: History, acknowledged_by: float, until: float
+) -> list[Change]:
+    """Return the newest change acknowledged by a time, and higher ones sent since."""
     valid = [item for item in history.changes if item.valid and item.sent_at <= until]
     acknowledged = [
         item.version
         for item in valid
-        if item.status == 200 and item.ended_at < sent_at - APPLY_SECONDS
+        if item.status == 200 and item.ended_at < acknowledged_by
     ]
     newest = max(acknowledged, default=0)
     return [item for item in valid if item.version >= newest] if acknowledged else []
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -68,6 +68,7 @@
     """Whether the answer says that the server leaves."""
     limit: float = 0.0
     """Requests per second that the answer names as the server's limit; 0 for none."""
+    zone: str = ""
 
 
 @dataclass(frozen=True)
@@ -127,6 +128,28 @@
     """Whether the process may cut off requests then; a planned stop may not."""
 
 
+@dataclass(frozen=True)
+class Evacuation:
+    """Record the evacuation of a zone."""
+
+    zone: str
+    acknowledged_at: Seconds
+    ended_at: Seconds
+    """Time at which its end was sent."""
+    restored_at: Seconds
+    """Time at which its end was acknowledged."""
+    used_at: Seconds
+    """Time of the first request that it got then; infinite if there was none."""
+
+
+@dataclass(frozen=True)
+class PowerLoss:
+    """Record that all processes were killed at once and started again."""
+
+    lost_at: Seconds
+    started_at: Seconds
+
+
 @dataclass(frozen=True)
 class OwnExit:
     """Record that a process ended without a signal of the soak."""
@@ -147,9 +170,13 @@
     changes: list[Change] = field(default_factory=list)
     reads: list[ReadBack] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
+    power_losses: list[PowerLoss] = field(default_factory=list)
+    evacuations: list[Evacuation] = field(default_factory=list)
     exits: list[OwnExit] = field(default_factory=list)
     served_at_end: dict[ProcessName, int] = field(default_factory=dict)
     """Of ten requests to each gateway after all faults, how many were served."""
+    changed_at_end: bool = True
+    """Whether a change was acknowledged and read back in time after all faults."""
 
     def add(self, record: Any) -> None:
         """Add a record to the list of its type."""
@@ -161,6 +188,8 @@
             Change: self.changes,
             ReadBack: self.reads,
             Disturbance: self.disturbances,
+            PowerLoss: self.power_losses,
+            Evacuation: self.evacuations,
             OwnExit: self.exits,
         }
         lists[type(record)].append(record)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -15,9 +15,11 @@
 from .history import Disturbance
 from .history import Drained
 from .history import Ending
+from .history import Evacuation
 from .history import History
 from .history import OwnExit
 from .history import Pause
+from .history import PowerLoss
 from .history import ReadBack
 from .history import Run
 from .servers import sign
@@ -75,7 +77,22 @@
         )
         for at in range(100)
     ],
+    "evacuated zones get nothing": [
+        Evacuation("north-a", 90.0, 110.0, 110.1, 110.2),
+        ATTEMPT,
+        replace(RUN, zone="north-a"),
+    ],
+    "zones are used again after an evacuation": [
+        Evacuation("north-a", 90.0, 95.0, 95.1, float("inf")),
+    ],
     "changes in force": [CHANGE, replace(MOVED, status=0), MOVED_RUN],
+    "no older version serves after a loss of power": [
+        CHANGE,
+        PowerLoss(20.0, 99.0),
+        Disturbance("entry-1", "lose power", 20.0, 105.0, True),
+        replace(MOVED, status=0),
+        MOVED_RUN,
+    ],
     "no older version is read": [
         CHANGE,
         replace(CHANGE, version=5),
@@ -115,8 +132,14 @@
     assert violated(history) == {"all serve after the faults"}
 
 
+def test_a_log_that_takes_no_change_at_the_end_is_found():
+    history = History(changed_at_end=False)
+    assert violated(history) == {"the log takes changes after the faults"}
+
+
 def test_every_check_has_a_planted_violation():
-    assert {*PLANTED, "all serve after the faults"} == set(CHECKS)
+    at_end = {"all serve after the faults", "the log takes changes after the faults"}
+    assert {*PLANTED, *at_end} == set(CHECKS)
 
 
 def test_a_history_that_keeps_all_promises_violates_no_check():
@@ -131,6 +154,7 @@
         ("changes in force", "entry-1"),
         ("changes in force", CORE),
         ("requests end at their timeout", "entry-1"),
+        ("evacuated zones get nothing", "entry-1"),
     ],
 )
 def test_gateways_out_of_touch_are_excused(name, process):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import resource
 import signal
 import threading
 import time
@@ -17,9 +18,11 @@
 from snipecart.core.task import running
 from snipecart.platform import names
 from tests.platform.fleet import FRONT
+from tests.platform.fleet import ZONES
 from tests.platform.fleet import platform_fleet
 from tests.platform.fleet import wait_for
 
+from .checks import RECOVERY_SECONDS
 from .clients import Client
 from .clients import Front
 from .history import Drained
@@ -75,13 +78,15 @@
         self._numbers = iter(range(1, 3000))
         self._lock = threading.Lock()
         self._borrowed: set[str] = set()
+        self._lends_no_more = False
+        """Whether a fault waits for all processes."""
         self._down: set[str] = set()
         self.stopping = threading.Event()
 
     def add_server(self, service: str) -> SoakServer:
         """Start a server and announce it."""
         number = next(self._numbers)
-        host, zone = f"{self.fleet.net}.3.1", ("north-a", "south-a")[number % 2]
+        host, zone = f"{self.fleet.net}.3.1", list(ZONES)[number % 2]
         server = SoakServer(host, number, service, zone, self.recorder)
         self.announce(server)
         self.servers.append(server)
@@ -99,8 +104,35 @@
                 return True
         return False
 
+    def give_order(self, path: str) -> Seconds:
+        """Call control processes until one acknowledges; return when it did."""
+        while not self.stopping.is_set() and not self._call(path, b""):
+            time.sleep(0.1)
+        return Seconds(time.monotonic())
+
+    def wait_for_use(self, zone: str, since: float) -> Seconds:
+        """Return when a server of a zone first ran a request since a time.
+
+        Return infinity after RECOVERY_SECONDS, and ``since`` if the zone is empty.
+        """
+        while time.monotonic() < since + RECOVERY_SECONDS:
+            staying = [item for item in self.servers if not item.leaving]
+            if not any(item.zone == zone for item in staying):
+                return Seconds(since)
+            for run in reversed(self.recorder.history.runs):
+                if run.at < since:
+                    break
+                if run.zone == zone:
+                    return run.at
+            time.sleep(0.1)
+        return Seconds(float("inf"))
+
     def replace_server(
-        self, rng: Random, *, by_answers: bool = False, late: bool = False
+        self,
+        rng: Random,
+        *,
+        by_answers: bool = False,
+        late: bool = False,
     ) -> None:
         """Add a server, let another one of its service leave, and end that one.
 
@@ -157,6 +189,20 @@
         if number == signal.SIGTERM and code != 0:
             self._record_exit(name, code)
 
+    def end_all(self, names: list[str]) -> None:
+        """Kill processes at the same moment."""
+        self._down.update(names)
+        processes = [self.fleet.processes.pop(name) for name in names]
+        for process in processes:
+            process.kill()
+        for process in processes:
+            process.wait(20)
+
+    def limit_files(self, name: str, size: int) -> None:
+        """Let a process write no file beyond a size."""
+        limits = (size, resource.RLIM_INFINITY)
+        resource.prlimit(self.fleet.processes[name].pid, resource.RLIMIT_FSIZE, limits)
+
     def signal(self, name: str, number: int) -> None:
         """Send a signal that doesn't end a process."""
         self.fleet.processes[name].send_signal(number)
@@ -204,11 +250,23 @@
         with self._borrowing(self.controls, 1, rng) as name:
             yield name
 
+    @contextmanager
+    def borrow_zone(self, rng: Random) -> Iterator[str]:
+        """Lend an availability zone to one fault; empty if one is lent already."""
+        with self._borrowing(list(ZONES), 1, rng) as zone:
+            yield zone
+
+    def swap_control(self, old: str, new: str) -> None:
+        """Lend a new control process to faults instead of one that is gone."""
+        with self._lock:
+            self.controls[self.controls.index(old)] = new
+
     @contextmanager
     def _borrowing(self, among: list[str], most: int, rng: Random) -> Iterator[str]:
         with self._lock:
             free = [name for name in among if name not in self._borrowed]
-            name = rng.choice(free) if len(among) - len(free) < most else ""
+            may_lend = not self._lends_no_more and len(among) - len(free) < most
+            name = rng.choice(free) if may_lend else ""
             if name:
                 self._borrowed.add(name)
         try:
@@ -221,7 +279,7 @@
     def borrow_all_control(self) -> Iterator[list[str]]:
         """Lend all control processes to one fault; none if one is lent already."""
         with self._lock:
-            free = not self._borrowed & set(self.controls)
+            free = not self._lends_no_more and not self._borrowed & set(self.controls)
             lent = list(self.controls) if free else []
             self._borrowed.update(lent)
         try:
@@ -230,6 +288,25 @@
             with self._lock:
                 self._borrowed.difference_update(lent)
 
+    @contextmanager
+    def borrow_all(self) -> Iterator[list[str]]:
+        """Lend all processes to one fault, after all others have returned theirs.
+
+        None if another fault waits for all processes already.
+        """
+        with self._lock:
+            lent = not self._lends_no_more
+            self._lends_no_more = True
+        if not lent:
+            yield []
+            return
+        try:
+            while self._borrowed - set(ZONES):
+                time.sleep(0.05)
+            yield [*self.controls, *self.gateways]
+        finally:
+            self._lends_no_more = False
+
     def ask_all(self) -> dict[ProcessName, int]:
         """Return how many of ten requests each gateway serves."""
         return {
@@ -247,13 +324,13 @@
 
 @contextmanager
 def running_world(
-    folder: Path, rng: Random, gateways: int, net: str, clients: int = CLIENTS
+    folder: Path, rng: Random, controls: int, gateways: int, net: str
 ) -> Iterator[World]:
     """Run a world until the block ends, with its clients and operator."""
     recorder = RecorderTask()
     with (
         running(recorder),
-        platform_fleet(folder, net, entries=gateways) as fleet,
+        platform_fleet(folder, net, controls, gateways) as fleet,
     ):
         world = World(fleet, rng, recorder)
         operator = Operator(fleet, rng, recorder)
@@ -267,7 +344,7 @@
         exits = threading.Thread(target=world.watch_exits, daemon=True)
         exits.start()
         callers = [
-            Client(world.fronts, Random(rng.random()), recorder) for _ in range(clients)
+            Client(world.fronts, Random(rng.random()), recorder) for _ in range(CLIENTS)
         ]
         operator.thread.start()
         for caller in callers:
@@ -290,6 +367,7 @@
     history: History = world.recorder.history
     history.served_at_end = world.ask_all()
     operator.read()
+    history.changed_at_end = operator.changes_within(RECOVERY_SECONDS)
     world.stopping.set()
     for server in list(world.servers):
         server.close()
