List the silent voters once a tick instead of once a request

Cause: the list goes with each append request, and was made anew for each follower: with 15 voters a proposal and its requests cost the leader 318 to 328 us, with 5 voters 73.

Change: a leader makes the list at each tick, every 20 ms, and when it is elected; the report of the quorum uses it, too. Ages may be 20 ms too low, of a timeout of 3 s.

Nothing else changes.

--- a/src/snipecart/control/raft/election.py
+++ b/src/snipecart/control/raft/election.py
@@ -15,6 +15,7 @@
 from . import timing
 from .silence import record_own_answers
 from .silence import record_sign_of_life
+from .silence import update_silent
 from .state import HANDLERS
 from .state import DiskStateChanged
 from .state import Effect
@@ -236,6 +237,7 @@
     state.failed_election = None
     last = state.log.last_index
     record_own_answers(state)
+    update_silent(state, now)
     state.waiting_joiners.clear()
     state.progress = {
         node.node: Progress(LogIndex(0), LogIndex(last + 1)) for node in state.peers
--- a/src/snipecart/control/raft/quorum.py
+++ b/src/snipecart/control/raft/quorum.py
@@ -7,7 +7,6 @@
 
 from ...core.states import Role
 from . import timing
-from .silence import seconds_silent
 
 if TYPE_CHECKING:
     from ...core.ids import Instant
@@ -38,10 +37,6 @@
     known_from = state.leader_since + timing.NEW_LEADER_GRACE
     if state.role is not Role.LEADER or now < known_from:
         return None
-    silent = tuple(
-        node.node
-        for node in state.voters
-        if seconds_silent(state, node, now) > timing.SILENCE_THRESHOLD
-    )
+    silent = tuple(voter.node for voter in state.silent_voters)
     voters = len(state.voters)
     return Quorum(voters, voters - len(silent), state.quorum_size(), silent)
--- a/src/snipecart/control/raft/replication.py
+++ b/src/snipecart/control/raft/replication.py
@@ -21,8 +21,8 @@
 from .membership import describe_change
 from .membership import maintain_voters
 from .quorum import describe_quorum
-from .silence import list_silent
 from .silence import record_reported_silence
+from .silence import update_silent
 from .snapshots import send_snapshot
 from .state import HANDLERS
 from .state import Apply
@@ -60,6 +60,7 @@
     A leader sends heartbeats, or steps down if no quorum answers. Another process
     starts a pre-vote once its election timeout has passed.
     """
+    update_silent(state, now)
     effects = [*_persist_commit(state, now), *_report_quorum(state, now)]
     if state.role is not Role.LEADER:
         if now >= state.election_due:
@@ -149,7 +150,7 @@
                 entries,
                 state.commit,
                 int(now * 1e6),
-                list_silent(state, now),
+                state.silent_voters,
             ),
         )
     ]
--- a/src/snipecart/control/raft/silence.py
+++ b/src/snipecart/control/raft/silence.py
@@ -6,6 +6,7 @@
 
 from ...core.ids import Instant
 from ...core.ids import Millis
+from ...core.states import Role
 from ...messages.raft import SilentVoter
 from . import timing
 
@@ -42,10 +43,15 @@
         state.last_seen[node] = Instant(seen)
 
 
-def list_silent(state: RaftState, now: Instant) -> tuple[SilentVoter, ...]:
-    """Return the voters that are silent, for the followers of this leader."""
+def update_silent(state: RaftState, now: Instant) -> None:
+    """List the voters that are silent, if this process leads.
+
+    The list goes with each request to each follower, so it is made once for all.
+    """
+    if state.role is not Role.LEADER:
+        return
     silences = ((node.node, seconds_silent(state, node, now)) for node in state.voters)
-    return tuple(
+    state.silent_voters = tuple(
         SilentVoter(node, Millis(int(seconds * 1000)))
         for node, seconds in silences
         if seconds > timing.SILENCE_THRESHOLD
--- a/src/snipecart/control/raft/state.py
+++ b/src/snipecart/control/raft/state.py
@@ -29,6 +29,7 @@
     from ...messages.commands import Entry
     from ...messages.commands import Node
     from ...messages.raft import DiskSnapshot
+    from ...messages.raft import SilentVoter
     from .quorum import Quorum
 
 
@@ -254,6 +255,8 @@
     """Whether control processes on VMs without a voter in the log may join."""
     last_seen: dict[NodeId, Instant] = field(default_factory=dict)
     """Time of the last sign of life of each other voter, as far as known here."""
+    silent_voters: tuple[SilentVoter, ...] = ()
+    """Voters that were silent at the last tick; used while this process leads."""
     waiting_joiners: dict[VmName, Node] = field(default_factory=dict)
     """Nodes that this leader adds once it may change the membership."""
 
--- a/src/snipecart/control/raft/status.py
+++ b/src/snipecart/control/raft/status.py
@@ -9,7 +9,6 @@
 from ...core.states import Role
 from . import timing
 from .quorum import describe_quorum
-from .silence import list_silent
 
 if TYPE_CHECKING:
     from ...core.ids import Instant
@@ -52,7 +51,7 @@
         quorum.answering,
         quorum.needed,
         quorum.spare,
-        list_silent(state, now),
+        state.silent_voters,
     )
 
 
