--- a/src/snipecart/gateway/sync.py
+++ b/src/snipecart/gateway/sync.py
@@ -27,6 +27,10 @@
 from ..wire.codec import Envelope
 from ..wire.links import Link
 from .balancing.task import SyncPoint
+from .peers import PEER_TIMEOUT_SECONDS
+from .peers import Peer
+from .peers import PeerMessage
+from .peers import addresses_by_vm
 
 if TYPE_CHECKING:
     from ..messages.commands import Node
@@ -38,9 +42,6 @@
 SYNC_INTERVAL_SECONDS = 0.5
 """Time between two requests to each control process."""
 
-PEER_TIMEOUT_SECONDS = 1.3
-"""Time without an answer after which a control process is no longer followed."""
-
 STARTUP_SYNC_INTERVAL_SECONDS = 0.15
 """Time between two requests to the followed process while this gateway isn't ready."""
 
@@ -71,27 +72,6 @@
     seeds: tuple[ControlPeer, ...]
 
 
-@dataclass(frozen=True)
-class PeerMessage:
-    """Pass a message from a control process to the task."""
-
-    vm: VmName
-    message: Any
-
-
-@dataclass
-class Peer:
-    """Store the link to one control process and the state it reported."""
-
-    link: Link
-    host: str
-    port: int
-    answered_at: Instant = Instant(-1e9)
-    """Time of its last answer."""
-    ready: bool = False
-    """Whether it knew all backend servers when it last answered."""
-
-
 class SyncTask(Task):
     """Own the links to the control processes and keep this gateway up to date.
 
@@ -111,7 +91,7 @@
         self.leaving = False
         self.complete = False
         """Whether the list of backend servers has been complete enough to serve."""
-        self._seeds = _addresses_by_vm(seeds)
+        self._seeds = addresses_by_vm(seeds)
         self._host, self._balancer = host, balancer
         self._peers: dict[VmName, Peer] = {}
         self._followed = VmName("")
@@ -151,7 +131,7 @@
 
     def answering_peers(self, now: Instant) -> list[VmName]:
         """Return the control processes whose last answer is recent."""
-        return [vm for vm, peer in self._peers.items() if _is_answering(peer, now)]
+        return [vm for vm, peer in self._peers.items() if peer.is_answering(now)]
 
     def start(self) -> None:
         """Open the links to the configured control processes and start the task."""
@@ -179,7 +159,7 @@
                 self.leaving = True
                 self._next_sync_at = now
             elif isinstance(message, SetSeeds):
-                self._seeds = _addresses_by_vm(message.seeds)
+                self._seeds = addresses_by_vm(message.seeds)
                 self._update_links(self._nodes)
             elif isinstance(message, PeerMessage):
                 self._handle_peer_message(message, now)
@@ -275,7 +255,7 @@
         candidates.
         """
         current = self._peers.get(self._followed)
-        answers = current is not None and _is_answering(current, now)
+        answers = current is not None and current.is_answering(now)
         answering = self.answering_peers(now)
         ready = [vm for vm in answering if self._peers[vm].ready]
         if answers and (current.ready or not ready):
@@ -374,10 +354,6 @@
         self.post(PeerMessage(vm, envelope.message))
 
 
-def _addresses_by_vm(seeds: tuple[ControlPeer, ...]) -> dict[VmName, tuple[str, int]]:
-    return {peer.vm: (peer.host, peer.port) for peer in seeds}
-
-
 def _without_routing(answer: SyncAnswer) -> SyncAnswer:
     """Return an answer without its routing table and evacuations.
 
@@ -386,7 +362,3 @@
     return replace(
         answer, routing_version=0, routing=b"", evacuation_index=0, evacuated=()
     )
-
-
-def _is_answering(peer: Peer, now: Instant) -> bool:
-    return now < peer.answered_at + PEER_TIMEOUT_SECONDS
--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -12,7 +12,7 @@
 from snipecart.gateway import sync as sync_module
 from snipecart.gateway.balancing.task import SyncPoint
 from snipecart.gateway.balancing.task import View
-from snipecart.gateway.sync import PeerMessage
+from snipecart.gateway.peers import PeerMessage
 from snipecart.gateway.sync import SetSeeds
 from snipecart.gateway.sync import SyncTask
 from snipecart.messages.commands import Node
