Let a voter with an old log reach a leader that its log doesn't list

What operators would see: a control VM that was away while others were replaced returns, and never becomes a voter again; the log goes on with one voter less than VMs.

Cause: a voter ignored the members in answers to its join requests, as the links of a voter follow its own log. One that was removed while it was away is a voter by its own log only. If its log doesn't list the leader, it has no link to it: it gets the leader's requests, can't answer, and asks nobody any more, as it hears a leader.

Change: the members that another process named get links, too, until this process is a voter whose log lists its leader. The rule stands in raft/membership.py; the simulated processes use the same one.

Ruled out: using the links of named members for non-voters only, as before, for entries that come in parts: an intermediate membership may not list the leader either.

--- a/src/snipecart/control/effects.py
+++ b/src/snipecart/control/effects.py
@@ -97,7 +97,7 @@
     node: NodeTask, effect: MembershipChange, now: Instant
 ) -> None:
     """Update the links to the members of the log."""
-    node.outputs.update_links((*effect.voters, *effect.learners))
+    node.update_links()
     node.publish()
     voters = ",".join(voter.node for voter in effect.voters)
     emit(VOTERS_CHANGED, voters=voters, learners=len(effect.learners))
--- a/src/snipecart/control/node.py
+++ b/src/snipecart/control/node.py
@@ -35,6 +35,7 @@
 from .machine.state import dump_state
 from .raft import timing
 from .raft.membership import make_join_request
+from .raft.membership import select_contacts
 from .raft.state import HANDLERS
 from .raft.state import Compact
 from .raft.state import Flush
@@ -108,6 +109,8 @@
         self.committed_state = CommittedState()
         self.quorum_at_risk = False
         """Whether the log would lose its quorum with one more voter, if this leads."""
+        self.named_members: tuple[Node, ...] = ()
+        """Members in the latest answer to a join request."""
         self.leader_waiters: list[LeaderWaiter] = []
         self.pending_replies: dict[LogIndex, Callable[[Any], None]] = {}
         self._tick_due = Instant(0.0)
@@ -253,6 +256,10 @@
                 return node.host
         return ""
 
+    def update_links(self) -> None:
+        """Update the links to the members of the log."""
+        self.outputs.update_links(select_contacts(self.state, self.named_members))
+
     def _request_join(self, now: Instant) -> None:
         """Ask all control processes to add this one, if it is not a member of the log.
 
--- a/src/snipecart/control/raft/membership.py
+++ b/src/snipecart/control/raft/membership.py
@@ -47,6 +47,19 @@
     return JoinRequest(replace(own_node, added=own_node.added or was_member))
 
 
+def select_contacts(state: RaftState, named: tuple[Node, ...]) -> tuple[Node, ...]:
+    """Return the nodes that this process needs links to.
+
+    They are the members that its log lists, and those that another process has named,
+    unless this process is a voter and its log lists its leader: an old log may not.
+    """
+    members = (*state.voters, *state.learners)
+    knows_leader = state.leader in {node.node for node in members}
+    if state.node_id in state.voter_ids and knows_leader:
+        return members
+    return (*members, *named)
+
+
 def _add_learners(state: RaftState, now: Instant) -> list[Effect]:
     """Propose all waiting joiners as learners; learners don't change any quorum."""
     if not (state.waiting_joiners and _can_change_membership(state)):
--- a/src/snipecart/control/requests.py
+++ b/src/snipecart/control/requests.py
@@ -184,9 +184,9 @@
 
 @REQUESTS.register(JoinAnswer)
 def handle_join_answer(node: NodeTask, req: IncomingMessage, now: Instant) -> None:
-    """Open links to the members of the log, unless this node is a voter itself."""
-    if node.own_node.node not in {item.node for item in node.state.voters}:
-        node.outputs.update_links(req.message.nodes)
+    """Open links to the members of the log that another process has named."""
+    node.named_members = req.message.nodes
+    node.update_links()
 
 
 @REQUESTS.register(Heartbeat)
--- a/tests/control/open_cluster.py
+++ b/tests/control/open_cluster.py
@@ -9,6 +9,7 @@
 from snipecart.control.node import JOIN_INTERVAL
 from snipecart.control.raft import timing
 from snipecart.control.raft.membership import make_join_request
+from snipecart.control.raft.membership import select_contacts
 from snipecart.core.ids import NodeId
 from snipecart.core.states import Role
 from snipecart.messages.commands import Node
@@ -32,8 +33,8 @@
     seeds: set[str]
     """VMs in its settings."""
     added: bool
-    joined_links: set[str]
-    """VMs that an answer to a join request named; forgotten when it starts again."""
+    named_members: tuple[Node, ...] = ()
+    """Members in the latest answer to a join request, forgotten at the next start."""
     join_due: float = 0.0
 
 
@@ -42,7 +43,7 @@
 
     def __init__(self, seed: int, founders: tuple[str, ...] = FOUNDERS) -> None:
         self.known: dict[str, Membership] = {
-            vm: Membership(set(founders[:3]), False, set()) for vm in founders
+            vm: Membership(set(founders[:3]), False) for vm in founders
         }
         super().__init__(seed, founders=founders)
 
@@ -54,14 +55,14 @@
         self.known[vm].added |= self.now > 0.0
         super().start(vm)
         self.processes[vm].state.open_to_vms = True
-        self.known[vm].joined_links = set()
+        self.known[vm].named_members = ()
 
     def add_vm(self, vm: str, seeds: Iterable[str]) -> None:
         """Start a control process on a new VM with a blank disk."""
         self.sequence += 1
         disk = Disk(NodeId(f"{vm}/{self.sequence}"))
         self.processes[vm] = Process(vm, disk, self.rng.uniform(0.97, 1.03))
-        self.known[vm] = Membership(set(seeds), True, set())
+        self.known[vm] = Membership(set(seeds), True)
         self.start(vm)
 
     def remove_vm(self, vm: str) -> None:
@@ -76,9 +77,9 @@
 
     def links(self, process: Process) -> set[str]:
         """Return the VMs that a process has links to."""
-        state, known = process.state, self.known[process.vm]
-        members = {node.vm for node in (*state.voters, *state.learners)}
-        return (members | known.seeds | known.joined_links) - {process.vm}
+        known = self.known[process.vm]
+        contacts = select_contacts(process.state, known.named_members)
+        return ({node.vm for node in contacts} | known.seeds) - {process.vm}
 
     def send_join_request(self, process: Process) -> None:
         """Send a join request as a control process does that is open to VMs."""
@@ -105,8 +106,7 @@
     def handle_event(self, process: Process, event: Any) -> None:
         """Pass an event to a process, and answer join requests with the members."""
         if isinstance(event, JoinAnswer):
-            if process.state.node_id not in process.state.voter_ids:
-                self.known[process.vm].joined_links = {node.vm for node in event.nodes}
+            self.known[process.vm].named_members = event.nodes
             return
         super().handle_event(process, event)
         if isinstance(event, JoinRequest) and not event.forwarded:
--- a/tests/control/test_links.py
+++ b/tests/control/test_links.py
@@ -2,10 +2,20 @@
 
 from __future__ import annotations
 
+from random import Random
+
 from snipecart.control import factory
 from snipecart.control.factory import Links
+from snipecart.control.machine.state import MachineState
+from snipecart.control.node import NodeOutputs
+from snipecart.control.node import NodeTask
+from snipecart.control.raft.state import Membership
+from snipecart.control.raft.state import RaftState
+from snipecart.core.ids import Instant
 from snipecart.messages.commands import Node
+from snipecart.messages.raft import JoinAnswer
 from snipecart.program.settings import ControlSettings
+from snipecart.wire.links import IncomingMessage
 
 
 class RecordingLink:
@@ -35,3 +45,25 @@
     for nodes in ((other,), (), (other,)):
         links.update_links(nodes)
     assert RecordingLink.opened == [("b", 3), ("b", 3)]
+
+
+def answer_join_request(leader):
+    """Return the links of a voter with a leader after an answer names b and c."""
+    voters = (Node("a/1", "a", "h", 1), Node("b/1", "b", "h", 2))
+    state = RaftState("a/1", Random(1), last_leader_contact=Instant(0.0))
+    state.memberships, state.leader = [Membership(1, voters, ())], leader
+    links = []
+    outputs = NodeOutputs(lambda to, message: None, lambda effect: True, links.append)
+    node = NodeTask(state, MachineState(), voters[0], outputs)
+    answer = JoinAnswer((voters[1], Node("c/1", "c", "h", 3)))
+    node.handle([IncomingMessage(answer, lambda message: None)], Instant(0.0))
+    return {item.vm for item in links[-1]}
+
+
+def test_a_voter_with_an_old_log_gets_links_to_members_that_it_does_not_list():
+    assert answer_join_request(leader="") == {"a", "b", "c"}
+    assert answer_join_request(leader="c/1") == {"a", "b", "c"}
+
+
+def test_a_voter_that_follows_a_leader_in_its_log_keeps_to_its_log():
+    assert answer_join_request(leader="b/1") == {"a", "b"}
