--- a/src/snipecart/control/effects.py
+++ b/src/snipecart/control/effects.py
@@ -97,7 +97,7 @@
     node: NodeTask, effect: MembershipChange, now: Instant
 ) -> None:
     """Update the links to the members of the log."""
-    node.outputs.update_links((*effect.voters, *effect.learners))
+    node.update_links()
     node.publish()
     silences = [item.silence for item in effect.removed if item.silence is not None]
     emit(
--- a/tests/control/logged_cluster.py
+++ b/tests/control/logged_cluster.py
@@ -40,7 +40,7 @@
         self.quorum_at_risk = False
         self.leader_state: Any = None
 
-    def update_links(self, nodes: Any) -> None:
+    def update_links(self) -> None:
         """Ignore the links; the simulated network has its own."""
 
     def publish(self) -> None:
