Evacuate zones in the soak

Change: a zone is evacuated for 8 to 12 s and then taken back. Two new checks: from 5 s after the acknowledgement on its servers get nothing, until the end is sent; and they get a request within 15 s after the end is acknowledged. Faults of control processes are an excuse only while an evacuation spreads; those of a gateway until 3 s after them. The servers that a soak starts with now stand so that each service has some in both zones; before, each service had one zone for itself.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -48,6 +48,12 @@
 LIMIT_WINDOW_SECONDS, LIMIT_OVERAGE, LIMIT_SLACK = 4.0, 1.5, 5
 """Window, ratio and number of requests that a named limit allows."""
 
+EVACUATION_SECONDS = 5.0
+"""Time from the acknowledgement of an evacuation until its zone gets nothing more."""
+
+RECOVERY_SECONDS = 15.0
+"""Time in which all is as before again once a fault is over."""
+
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run and never will."""
 
@@ -168,6 +174,37 @@
                 break
 
 
+@CHECKS.register("evacuated zones get nothing")
+def check_evacuated(history: History) -> Iterator[str]:
+    """Find runs in an evacuated zone, by gateways that could know.
+
+    Faults of control processes are an excuse only until it is in force.
+    """
+    attempts = {item.request: item for item in history.attempts}
+    for item in history.evacuations:
+        in_force_at = item.acknowledged_at + EVACUATION_SECONDS
+        begin = item.acknowledged_at - CONNECTIVITY_SECONDS
+        if history.disturbed(CORE, begin, in_force_at):
+            continue
+        for run in history.runs:
+            attempt = attempts.get(run.request)
+            if attempt is None or run.zone != item.zone:
+                continue
+            begin = attempt.sent_at - CONNECTIVITY_SECONDS
+            if in_force_at < run.at < item.ended_at and not history.disturbed(
+                attempt.gateway, begin, run.at
+            ):
+                yield f"{run.request} at {attempt.gateway} reached {item.zone}"
+
+
+@CHECKS.register("zones are used again after an evacuation")
+def check_restored(history: History) -> Iterator[str]:
+    """Find zones whose servers got no request once their evacuation had ended."""
+    for item in history.evacuations:
+        if item.used_at > item.restored_at + RECOVERY_SECONDS:
+            yield f"{item.zone} got nothing after its evacuation"
+
+
 @CHECKS.register("changes in force")
 def check_changes(history: History) -> Iterator[str]:
     """Find runs by a service to which only older versions send a route."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,10 +12,13 @@
 from typing import TYPE_CHECKING
 
 from snipecart.core.registry import Registry
+from snipecart.platform import names
 
 from .checks import CONNECTIVITY_SECONDS
 from .checks import CORE
+from .checks import EVACUATION_SECONDS
 from .history import Disturbance
+from .history import Evacuation
 from .history import ProcessName
 from .history import Seconds
 from .proxy import LinkMode
@@ -145,16 +148,16 @@
 @FAULTS.register("kill all control processes")
 def kill_all_control(world: World, rng: Random) -> None:
     """Kill all control processes at once, and start them again."""
-    with world.borrow_all_control() as names:
-        if not names:
+    with world.borrow_all_control() as controls:
+        if not controls:
             return
         with disturbing(world, CORE, "kill all"):
-            for name in names:
+            for name in controls:
                 world.end(name, signal.SIGKILL)
             time.sleep(rng.random())
-            for name in names:
+            for name in controls:
                 world.start(name)
-            for name in names:
+            for name in controls:
                 world.wait_until_up(name)
 
 
@@ -239,3 +242,19 @@
                 if rng.random() < 0.5:
                     sock.sendall(PARTIAL_HEAD)
         time.sleep(2.0 + 2 * rng.random())
+
+
+@FAULTS.register("evacuate a zone")
+def evacuate_zone(world: World, rng: Random) -> None:
+    """Evacuate a zone for a while, and wait until its servers get requests again."""
+    with world.borrow_zone(rng) as zone:
+        if not zone:
+            return
+        acknowledged_at = world.give_order(names.START_EVACUATION + zone)
+        time.sleep(EVACUATION_SECONDS + 3 + 4 * rng.random())
+        ended_at = Seconds(time.monotonic())
+        restored_at = world.give_order(names.STOP_EVACUATION + zone)
+        used_at = world.wait_for_use(zone, restored_at)
+        world.recorder.post(
+            Evacuation(zone, acknowledged_at, ended_at, restored_at, used_at)
+        )
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -68,6 +68,7 @@
     """Whether the answer says that the server leaves."""
     limit: float = 0.0
     """Requests per second that the answer names as the server's limit; 0 for none."""
+    zone: str = ""
 
 
 @dataclass(frozen=True)
@@ -127,6 +128,20 @@
     """Whether the process may cut off requests then; a planned stop may not."""
 
 
+@dataclass(frozen=True)
+class Evacuation:
+    """Record the evacuation of a zone."""
+
+    zone: str
+    acknowledged_at: Seconds
+    ended_at: Seconds
+    """Time at which its end was sent."""
+    restored_at: Seconds
+    """Time at which its end was acknowledged."""
+    used_at: Seconds
+    """Time of the first request that it got then; infinite if there was none."""
+
+
 @dataclass(frozen=True)
 class PowerLoss:
     """Record that all processes were killed at once and started again."""
@@ -156,6 +171,7 @@
     reads: list[ReadBack] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
     power_losses: list[PowerLoss] = field(default_factory=list)
+    evacuations: list[Evacuation] = field(default_factory=list)
     exits: list[OwnExit] = field(default_factory=list)
     served_at_end: dict[ProcessName, int] = field(default_factory=dict)
     """Of ten requests to each gateway after all faults, how many were served."""
@@ -173,6 +189,7 @@
             ReadBack: self.reads,
             Disturbance: self.disturbances,
             PowerLoss: self.power_losses,
+            Evacuation: self.evacuations,
             OwnExit: self.exits,
         }
         lists[type(record)].append(record)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -161,6 +161,7 @@
                 status,
                 server.says_leaving,
                 server.limit,
+                server.zone,
             )
         )
         if conduct is Conduct.ENDLESS:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -15,6 +15,7 @@
 from .history import Disturbance
 from .history import Drained
 from .history import Ending
+from .history import Evacuation
 from .history import History
 from .history import OwnExit
 from .history import Pause
@@ -76,6 +77,14 @@
         )
         for at in range(100)
     ],
+    "evacuated zones get nothing": [
+        Evacuation("north-a", 90.0, 110.0, 110.1, 110.2),
+        ATTEMPT,
+        replace(RUN, zone="north-a"),
+    ],
+    "zones are used again after an evacuation": [
+        Evacuation("north-a", 90.0, 95.0, 95.1, float("inf")),
+    ],
     "changes in force": [CHANGE, replace(MOVED, status=0), MOVED_RUN],
     "no older version serves after a loss of power": [
         CHANGE,
@@ -145,6 +154,7 @@
         ("changes in force", "entry-1"),
         ("changes in force", CORE),
         ("requests end at their timeout", "entry-1"),
+        ("evacuated zones get nothing", "entry-1"),
     ],
 )
 def test_gateways_out_of_touch_are_excused(name, process):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,6 +17,7 @@
     "lose a control disk",
     "control disk refuses writes",
     "lose power",
+    "evacuate a zone",
 )
 """Faults that the other cases don't draw from, so that these keep theirs."""
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -18,9 +18,11 @@
 from snipecart.core.task import running
 from snipecart.platform import names
 from tests.platform.fleet import FRONT
+from tests.platform.fleet import ZONES
 from tests.platform.fleet import platform_fleet
 from tests.platform.fleet import wait_for
 
+from .checks import RECOVERY_SECONDS
 from .clients import Client
 from .clients import Front
 from .history import Drained
@@ -56,9 +58,6 @@
 UP_SECONDS = 20.0
 """Time in which a process must be up again."""
 
-RECOVERY_SECONDS = 15.0
-"""Time in which a change must be acknowledged and read back after all faults."""
-
 SETTLE_SECONDS = 4.0
 """Time after the last fault before gateways are asked whether they serve."""
 
@@ -87,7 +86,7 @@
     def add_server(self, service: str) -> SoakServer:
         """Start a server and announce it."""
         number = next(self._numbers)
-        host, zone = f"{self.fleet.net}.3.1", ("north-a", "south-a")[number % 2]
+        host, zone = f"{self.fleet.net}.3.1", list(ZONES)[number // 2 % 2]
         server = SoakServer(host, number, service, zone, self.recorder)
         self.announce(server)
         self.servers.append(server)
@@ -105,8 +104,35 @@
                 return True
         return False
 
+    def give_order(self, path: str) -> Seconds:
+        """Call control processes until one acknowledges; return when it did."""
+        while not self.stopping.is_set() and not self._call(path, b""):
+            time.sleep(0.1)
+        return Seconds(time.monotonic())
+
+    def wait_for_use(self, zone: str, since: float) -> Seconds:
+        """Return when a server of a zone first ran a request since a time.
+
+        Return infinity after RECOVERY_SECONDS, and ``since`` if the zone is empty.
+        """
+        while time.monotonic() < since + RECOVERY_SECONDS:
+            staying = [item for item in self.servers if not item.leaving]
+            if not any(item.zone == zone for item in staying):
+                return Seconds(since)
+            for run in reversed(self.recorder.history.runs):
+                if run.at < since:
+                    break
+                if run.zone == zone:
+                    return run.at
+            time.sleep(0.1)
+        return Seconds(float("inf"))
+
     def replace_server(
-        self, rng: Random, *, by_answers: bool = False, late: bool = False
+        self,
+        rng: Random,
+        *,
+        by_answers: bool = False,
+        late: bool = False,
     ) -> None:
         """Add a server, let another one of its service leave, and end that one.
 
@@ -224,6 +250,12 @@
         with self._borrowing(self.controls, 1, rng) as name:
             yield name
 
+    @contextmanager
+    def borrow_zone(self, rng: Random) -> Iterator[str]:
+        """Lend an availability zone to one fault; empty if one is lent already."""
+        with self._borrowing(list(ZONES), 1, rng) as zone:
+            yield zone
+
     def swap_control(self, old: str, new: str) -> None:
         """Lend a new control process to faults instead of one that is gone."""
         with self._lock:
@@ -269,7 +301,7 @@
             yield []
             return
         try:
-            while self._borrowed:
+            while self._borrowed - set(ZONES):
                 time.sleep(0.05)
             yield [*self.controls, *self.gateways]
         finally:
