Start cold servers in the soak

Change: a server starts cold for 5 s in place of another one, or one that runs becomes cold. Configurations state 3 requests a second for cold servers. A new check counts the runs of a second at a cold server, from all gateways, of requests that clients sent in that second: 1.5 times the rate and 5 more are allowed, with no fault as an excuse.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -48,6 +48,9 @@
 LIMIT_WINDOW_SECONDS, LIMIT_OVERAGE, LIMIT_SLACK = 4.0, 1.5, 5
 """Window, ratio and number of requests that a named limit allows."""
 
+COLD_WINDOW_SECONDS, COLD_OVERAGE, COLD_SLACK = 1.0, 1.5, 5
+"""Window, ratio and number of requests that the rate of a cold server allows."""
+
 EVACUATION_SECONDS = 5.0
 """Time from the acknowledgement of an evacuation until its zone gets nothing more."""
 
@@ -174,6 +177,27 @@
                 break
 
 
+@CHECKS.register("cold servers get no more than they take")
+def check_cold(history: History) -> Iterator[str]:
+    """Find cold servers that got more in a second than their rate, from all gateways.
+
+    Requests that clients sent before that second may have been held up by a link.
+    """
+    sent_at = {item.request: item.sent_at for item in history.attempts}
+    runs: dict[str, list[Run]] = defaultdict(list)
+    for run in history.runs:
+        if run.cold_rate and run.request in sent_at:
+            runs[run.server].append(run)
+    for server, cold in runs.items():
+        allowed = COLD_OVERAGE * cold[0].cold_rate + COLD_SLACK
+        for begin in [sent_at[run.request] for run in cold]:
+            inside = [run for run in cold if run.at < begin + COLD_WINDOW_SECONDS]
+            count = sum(begin <= sent_at[run.request] for run in inside)
+            if count > allowed:
+                yield f"{server} got {count} in a second, {allowed} allowed"
+                break
+
+
 @CHECKS.register("evacuated zones get nothing")
 def check_evacuated(history: History) -> Iterator[str]:
     """Find runs in an evacuated zone, by gateways that could know.
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -14,6 +14,7 @@
 from snipecart.core.registry import Registry
 from snipecart.platform import names
 
+from .checks import APPLY_SECONDS
 from .checks import CONNECTIVITY_SECONDS
 from .checks import CORE
 from .checks import EVACUATION_SECONDS
@@ -38,6 +39,7 @@
 """Requests per second."""
 
 LIMITED_SECONDS = 8.0
+COLD_SECONDS = 5.0
 PARTIAL_HEAD = b"GET /look/slow HTTP/1.1\r\nHost: shop.exam"
 
 NOT_MISCONDUCT = {Conduct.SOUND, Conduct.SPOILED, Conduct.ENDLESS}
@@ -258,3 +260,16 @@
         world.recorder.post(
             Evacuation(zone, acknowledged_at, ended_at, restored_at, used_at)
         )
+
+
+@FAULTS.register("cold servers")
+def start_cold(world: World, rng: Random) -> None:
+    """Add a server that is cold for a while, or let one become cold that runs."""
+    if rng.random() < 0.5:
+        world.replace_server(rng, cold_seconds=COLD_SECONDS)
+        return
+    server = rng.choice(world.servers)
+    server.become_cold(COLD_SECONDS)
+    world.announce(server)
+    server.cold_since = Seconds(time.monotonic() + APPLY_SECONDS)
+    time.sleep(COLD_SECONDS)
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -69,6 +69,8 @@
     limit: float = 0.0
     """Requests per second that the answer names as the server's limit; 0 for none."""
     zone: str = ""
+    cold_rate: float = 0.0
+    """Requests per second that the server takes, as it is cold; 0 if it isn't."""
 
 
 @dataclass(frozen=True)
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -15,6 +15,7 @@
 from .history import ReadBack
 from .history import Seconds
 from .history import Version
+from .servers import COLD_PER_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -64,7 +65,7 @@
             "protocol": "h1",
             "tls": False,
             "cold_start": "0s",
-            "cold_per_s": 0.0,
+            "cold_per_s": COLD_PER_S,
         }
         for name in SERVICES
     ]
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -26,6 +26,8 @@
 SILENT_SECONDS = 6.0
 SMALL_CHUNKS = b"10\r\n0123456789abcdef\r\n" * 1000
 PAUSE_SECONDS = 1.5
+COLD_PER_S = 3.0
+"""Requests per second that a cold server takes."""
 
 
 class Conduct(StrEnum):
@@ -73,6 +75,8 @@
         """Requests per second that it names as its limit; 0 for none."""
         self.named_limit = False
         """Whether it has ever named a limit."""
+        self.cold_since = self.cold_until = Seconds(0.0)
+        """Time in which it holds gateways to its rate while cold."""
         self.born, self.sequence = int(time.time() * 1000), 0
         self.recorder = recorder
         self.server = _Server((host, 9000 + number), self._handler())
@@ -95,10 +99,24 @@
             "status": {
                 "state": state,
                 "sequence": self.sequence,
-                "cold_remaining": "0ms",
+                "cold_remaining": f"{self._cold_ms()}ms",
             },
         }
 
+    def become_cold(self, seconds: float) -> None:
+        """Be cold for some seconds, and hold gateways to the rate from then on."""
+        self.cold_since = Seconds(time.monotonic())
+        self.cold_until = Seconds(self.cold_since + seconds)
+
+    def _cold_ms(self) -> int:
+        return max(0, int(1000 * (self.cold_until - time.monotonic())))
+
+    @property
+    def cold_rate(self) -> float:
+        """Return the requests per second that it takes while cold; 0 for no limit."""
+        is_cold = self.cold_since <= time.monotonic() < self.cold_until
+        return COLD_PER_S if is_cold else 0.0
+
     def close(self) -> None:
         """Stop the server and its proxy."""
         self.proxy.close()
@@ -162,6 +180,7 @@
                 server.says_leaving,
                 server.limit,
                 server.zone,
+                server.cold_rate,
             )
         )
         if conduct is Conduct.ENDLESS:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -77,6 +77,20 @@
         )
         for at in range(100)
     ],
+    "cold servers get no more than they take": [
+        record
+        for at in range(10)
+        for record in (
+            replace(ATTEMPT, request=f"c{at}", sent_at=100 + at / 11, status=0),
+            replace(
+                RUN,
+                request=f"c{at}",
+                gateway=f"127.0.2.{at % 3}",
+                cold_rate=3.0,
+                at=100.05 + at / 11,
+            ),
+        )
+    ],
     "evacuated zones get nothing": [
         Evacuation("north-a", 90.0, 110.0, 110.1, 110.2),
         ATTEMPT,
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,6 +18,7 @@
     "control disk refuses writes",
     "lose power",
     "evacuate a zone",
+    "cold servers",
 )
 """Faults that the other cases don't draw from, so that these keep theirs."""
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -83,11 +83,12 @@
         self._down: set[str] = set()
         self.stopping = threading.Event()
 
-    def add_server(self, service: str) -> SoakServer:
-        """Start a server and announce it."""
+    def add_server(self, service: str, cold_seconds: float = 0.0) -> SoakServer:
+        """Start a server, which may be cold at first, and announce it."""
         number = next(self._numbers)
         host, zone = f"{self.fleet.net}.3.1", list(ZONES)[number // 2 % 2]
         server = SoakServer(host, number, service, zone, self.recorder)
+        server.become_cold(cold_seconds)
         self.announce(server)
         self.servers.append(server)
         return server
@@ -133,11 +134,13 @@
         *,
         by_answers: bool = False,
         late: bool = False,
+        cold_seconds: float = 0.0,
     ) -> None:
         """Add a server, let another one of its service leave, and end that one.
 
         It says so in its heartbeats, or at first ``by_answers`` only. With ``late``, a
         heartbeat from before arrives after it has left, and it serves on for a while.
+        The new one is cold for ``cold_seconds``.
         """
         with self._lock:
             staying = [
@@ -147,7 +150,7 @@
             earlier = json.dumps(leaving.describe()).encode()
             leaving.says_leaving = by_answers
             leaving.leaving = not by_answers
-        self.add_server(leaving.service)
+        self.add_server(leaving.service, cold_seconds)
         if by_answers:
             time.sleep(SAYS_LEAVING_SECONDS)
             leaving.leaving = True
