Count only answers as signs of life of a leader's own voters

Cause: vote requests and join requests of a voter, also forwarded ones, counted as signs of life at the leader.

Change: a leader counts such messages of processes that are no voters only. Followers count all, as they see no answers.

The three cases of the test failed before, and pass now.

--- a/src/snipecart/control/raft/silence.py
+++ b/src/snipecart/control/raft/silence.py
@@ -22,8 +22,13 @@
 
 
 def record_sign_of_life(state: RaftState, node: NodeId, now: Instant) -> None:
-    """Record that a node has just sent a message."""
-    state.last_seen[node] = now
+    """Record that a node has just sent a message.
+
+    From its own voters a leader counts answers only: one that can send, but gets no
+    requests, is of no use to the quorum.
+    """
+    if state.role is not Role.LEADER or node not in state.voter_ids:
+        state.last_seen[node] = now
 
 
 def record_reported_silence(
--- a/tests/control/test_membership.py
+++ b/tests/control/test_membership.py
@@ -27,6 +27,7 @@
 from snipecart.messages.raft import AppendRequest
 from snipecart.messages.raft import JoinRequest
 from snipecart.messages.raft import SilentVoter
+from snipecart.messages.raft import VoteRequest
 
 from .logged_cluster import LoggedCluster
 
@@ -200,6 +201,23 @@
     assert len(state.voters) == 4
 
 
+@pytest.mark.parametrize(
+    "message",
+    [
+        VoteRequest(True, 1, "c/1", 0, 0),
+        JoinRequest(VOTERS[2]),
+        JoinRequest(VOTERS[2], forwarded=True),
+    ],
+)
+def test_a_voter_that_sends_but_does_not_answer_is_removed(leader, message):
+    now = Instant(100.0 + timing.REPLACE_VOTER_TIMEOUT + 0.5)
+    add_voter(leader, now)
+    leader.progress["b/1"].confirmed = now
+    step(leader, message, now)
+    maintain_voters(leader, now)
+    assert [node.vm for node in leader.voters] == ["a", "b", "d"]
+
+
 def test_a_voter_that_answered_an_earlier_leadership_was_seen_then(leader):
     leader.progress["b/1"].confirmed = 150.0
     record_own_answers(leader)
