--- a/tests/control/test_membership.py
+++ b/tests/control/test_membership.py
@@ -11,6 +11,7 @@
 from snipecart.control.raft import timing
 from snipecart.control.raft.membership import maintain_voters
 from snipecart.control.raft.silence import record_own_answers
+from snipecart.control.raft.silence import seconds_silent
 from snipecart.control.raft.state import Membership
 from snipecart.control.raft.state import MembershipChange
 from snipecart.control.raft.state import Progress
@@ -218,6 +219,14 @@
     assert [node.vm for node in leader.voters] == ["a", "b", "d"]
 
 
+def test_a_voter_that_never_answered_an_earlier_leadership_has_the_whole_timeout():
+    state = RaftState("a/1", Random(1), last_leader_contact=Instant(0.0))
+    state.memberships = [Membership(0, VOTERS, ())]
+    state.progress = {"b/1": Progress(0, 1)}
+    lead(state, since=1000.0)
+    assert seconds_silent(state, VOTERS[1], Instant(1000.5)) == 0.5
+
+
 def test_a_voter_that_answered_an_earlier_leadership_was_seen_then(leader):
     leader.progress["b/1"].confirmed = 150.0
     record_own_answers(leader)
