Show that one VM may count as two lost voters

What operators would see: a control VM comes back with a blank disk, is taken in, and loses its disk once more within a tenth of a second. No leader is elected any more, though only this VM was ever lost.

Cause: its learner is promoted beside its old voter, which is removed afterwards, if the learner has answered within a second. If it is gone by then, the quorum counts two voters of one VM that are gone: four voters of three VMs, three needed, two alive.

--- a/tests/control/test_log.py
+++ b/tests/control/test_log.py
@@ -132,3 +132,18 @@
     assert len(cluster.accepted) == 2
     cluster.heal()
     cluster.check_settled()
+
+
+def test_a_disk_that_is_lost_again_while_it_joins_costs_one_voter_only():
+    for seed in range(10):
+        cluster = Cluster(seed)
+        cluster.run(4.0)
+        lost = next(vm for vm in "abc" if vm != cluster.leader().vm)
+        cluster.lose_disk(lost)
+        cluster.start(lost)
+        while not cluster.leader().state.learners:
+            cluster.run(0.01)
+        cluster.run(0.04)
+        cluster.lose_disk(lost)
+        cluster.start(lost)
+        cluster.check_settled()
