Remove the lost voter of a VM before its blank disk becomes a voter

Promoting first counts two voters of one VM.

Change: a silent voter is removed once a learner on its VM has caught up, and the learner is promoted next. No quorum is harder to reach in between: without the lost voter a quorum needs as many of the voters that are alive, or fewer. A learner that is lost in between hands its place to the next one of its VM.

Ruled out: both changes in one entry. Quorums of the two memberships need not overlap.

--- a/src/snipecart/control/raft/membership.py
+++ b/src/snipecart/control/raft/membership.py
@@ -92,17 +92,18 @@
 def _prepare_learner(state: RaftState, joiner: Node, now: Instant) -> Node | None:
     """Return the joiner as a learner, or None if it may not join.
 
-    It replaces the voter of its VM if that stopped answering, and keeps its ``added``
-    flag. A VM without a voter may join only if ``open_to_vms`` is set.
+    It replaces the voter or learner of its VM if that stopped answering, and keeps its
+    ``added`` flag. Any other VM may join only if ``open_to_vms`` is set.
     """
-    vm_voters = [node for node in state.voters if node.vm == joiner.vm]
-    if not vm_voters:
+    members = (*state.voters, *state.learners)
+    vm_members = [node for node in members if node.vm == joiner.vm]
+    if not vm_members:
         return joiner if state.open_to_vms else None
     if not all(
         may_be_replaced(state, node, now) for node in _other_voters_on_vm(state, joiner)
     ):
         return None
-    return replace(joiner, added=vm_voters[0].added)
+    return replace(joiner, added=vm_members[0].added)
 
 
 def _can_change_membership(state: RaftState) -> bool:
@@ -142,13 +143,14 @@
 def maintain_voters(state: RaftState, now: Instant) -> list[Effect]:
     """Propose the next change of the voters, if one is due.
 
-    In order of precedence: remove a silent voter if another voter runs on its VM,
+    In order of precedence: remove a silent voter if its VM has another node,
     remove a silent voter if it was added or an added VM replaces it, add the nodes that
     wait to join, promote a learner that has caught up, forget learners that are gone.
     """
     if not _can_change_membership(state):
         return []
-    for node in state.voters:
+    caught_up = [node for node in state.learners if _has_caught_up(state, node, now)]
+    for node in (*state.voters, *caught_up):
         other_voters = _other_voters_on_vm(state, node)
         silent = [other for other in other_voters if may_be_replaced(state, other, now)]
         if silent:
@@ -160,10 +162,10 @@
     added = _add_learners(state, now)
     if added:
         return added
-    for learner in state.learners:
-        if _has_caught_up(state, learner, now):
-            learners = tuple(other for other in state.learners if other != learner)
-            return _propose_membership(state, (*state.voters, learner), learners, now)
+    if caught_up:
+        learners = tuple(other for other in state.learners if other != caught_up[0])
+        voters = (*state.voters, caught_up[0])
+        return _propose_membership(state, voters, learners, now)
     learners = tuple(node for node in state.learners if not _is_lost(state, node, now))
     if learners != state.learners:
         return _propose_membership(state, state.voters, learners, now)
@@ -171,7 +173,9 @@
 
 
 def _is_lost(state: RaftState, learner: Node, now: Instant) -> bool:
-    return seconds_silent(state, learner, now) > timing.FORGET_LEARNER_TIMEOUT
+    """Return whether to forget a learner, which may join again if VMs may."""
+    is_silent = seconds_silent(state, learner, now) > timing.FORGET_LEARNER_TIMEOUT
+    return state.open_to_vms and is_silent
 
 
 def _remove_silent_voter(state: RaftState, now: Instant) -> ChangeVoters | None:
--- a/tests/control/test_log.py
+++ b/tests/control/test_log.py
@@ -147,3 +147,5 @@
         cluster.lose_disk(lost)
         cluster.start(lost)
         cluster.check_settled()
+        nodes = {process.disk.node for process in cluster.processes.values()}
+        assert cluster.leader().state.voter_ids == nodes
