--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 from .run import soak
 
 SECONDS = 20.0
+NEW_SECONDS = 10.0
 SEED = 11
 
 LATER_FAULTS = ("spoil load reports", "answer without end", "deliver a heartbeat late")
@@ -46,3 +47,9 @@
     report = soak(12, SECONDS, tmp_path, faults=["silent clients"])
     assert report.passed, "\n".join(report.lines())
     assert report.faults["silent clients"] > 0
+
+
+def test_lost_vms_disks_and_power_and_evacuations_break_no_promise(tmp_path):
+    report = soak(21, NEW_SECONDS, tmp_path, controls=5, faults=NEW_FAULTS)
+    assert report.passed, "\n".join(report.lines())
+    assert report.disturbances
