Publish that the log has caught up only with the state that it has caught up to

What callers would see: a gateway that has just started takes an older table, marked as current, and acts on it for a moment.

Cause: a request with several committed entries sets that the log has caught up before any of them is applied, and the state is published after each entry, and after a change of the membership before any.

Change: the node counts as caught up once it has applied all that is committed.

--- a/src/snipecart/control/effects.py
+++ b/src/snipecart/control/effects.py
@@ -64,6 +64,7 @@
     """Apply committed entries and answer their proposers."""
     for entry in effect.entries:
         answer = apply_entry(node.machine, entry)
+        node.applied_index = entry.index
         node.applied_bytes += payload_size(entry.command)
         node.update_accepted()
         reply = node.pending_replies.pop(entry.index, None)
@@ -75,7 +76,7 @@
 def run_restore(node: NodeTask, effect: Restore, now: Instant) -> None:
     """Replace the replicated state by a snapshot's."""
     node.machine = load_state(effect.snapshot.state)
-    node.snapshot_index = effect.snapshot.index
+    node.snapshot_index = node.applied_index = effect.snapshot.index
     node.update_accepted()
     emit(SNAPSHOT_INSTALLED, index=effect.snapshot.index)
 
--- a/src/snipecart/control/node.py
+++ b/src/snipecart/control/node.py
@@ -122,6 +122,8 @@
         self._tick_due = Instant(0.0)
         self._join_due = Instant(0.0)
         self.snapshot_index = state.snapshot.index if state.snapshot else LogIndex(0)
+        self.applied_index = state.commit
+        """Index of the last entry that is applied to the replicated state."""
         self.applied_bytes = sum(
             payload_size(entry.command)
             for entry in state.log.entries
@@ -142,7 +144,7 @@
             self._handle_message(message, now)
         self.run(step(self.state, Flush(), now), now)
         self._answer_leader_waiters(now)
-        if self.state.caught_up and not self.committed_state.caught_up:
+        if self._has_caught_up() and not self.committed_state.caught_up:
             emit(LOG_CAUGHT_UP, index=self.state.commit, term=self.state.term)
             self.publish()
         if now >= self._tick_due:
@@ -204,7 +206,7 @@
             members.index,
             self._list_departures(),
             self._list_uncommitted_departures(),
-            self.state.caught_up,
+            self._has_caught_up(),
         )
         if committed_state == before:
             return
@@ -218,6 +220,10 @@
                 EVACUATION_CHANGED, index=committed_state.evacuation_index, zones=zones
             )
 
+    def _has_caught_up(self) -> bool:
+        """Return whether what was committed before the start is applied here."""
+        return self.state.caught_up and self.applied_index >= self.state.commit
+
     def _list_departures(self) -> tuple[RecordedDeparture, ...]:
         """Return the recorded departures; the same tuple while none was recorded."""
         recorded, before = self.machine.departures, self.committed_state.departures
