Catch up only with a leader that a quorum still follows

What callers would see: a gateway that has just started takes an older table, marked as current.

Cause: a process that starts counted as caught up once it had the entries of any leader that committed one of its own term. One that is cut off, and has not stepped down yet, has those, but not what a newer leader has committed since.

Change: requests state the time up to which a quorum has answered the leader. A process that starts notes the first request of a leader, and has caught up once a quorum has answered a later one and it has what was committed at the first.

Why it works: a quorum that answered the leader after that had elected no other, so nothing else was committed before the start. A process beside a leader of an earlier release catches up once it has a new one.

--- a/src/snipecart/control/raft/election.py
+++ b/src/snipecart/control/raft/election.py
@@ -238,6 +238,7 @@
     last = state.log.last_index
     record_own_answers(state)
     update_silent(state, now)
+    state.quorum_answered = 0
     state.waiting_joiners.clear()
     state.progress = {
         node.node: Progress(LogIndex(0), LogIndex(last + 1)) for node in state.peers
--- a/src/snipecart/control/raft/replication.py
+++ b/src/snipecart/control/raft/replication.py
@@ -26,6 +26,7 @@
 from .snapshots import send_snapshot
 from .state import HANDLERS
 from .state import Apply
+from .state import CatchUpPoint
 from .state import Effect
 from .state import Flush
 from .state import Membership
@@ -66,8 +67,9 @@
         if now >= state.election_due:
             effects += start_pre_vote(state, now)
         return effects
-    confirmed = max(state.quorum_confirmed_at(now), state.leader_since)
-    if now > confirmed + timing.STEP_DOWN_TIMEOUT:
+    confirmed = state.quorum_confirmed_at(now)
+    state.quorum_answered = max(0, int(confirmed * 1e6))
+    if now > max(confirmed, state.leader_since) + timing.STEP_DOWN_TIMEOUT:
         return effects + become_follower(state, state.term, NodeId(""), now)
     effects += maintain_voters(state, now)
     if now >= state.heartbeat_due:
@@ -151,6 +153,7 @@
                 state.commit,
                 int(now * 1e6),
                 state.silent_voters,
+                state.quorum_answered,
             ),
         )
     ]
@@ -188,8 +191,7 @@
     effects += _store_entries(state, req.entries, now)
     matched = LogIndex(previous + len(req.entries))
     effects += advance_commit(state, min(req.commit, matched))
-    if state.commit >= req.commit:
-        _check_caught_up(state)
+    _check_catch_up_point(state, req)
     return [
         *effects,
         SendAfterSync(req.leader, make_append_answer(state, req.sent, True, matched)),
@@ -265,6 +267,22 @@
     return [Apply(entries)]
 
 
+def _check_catch_up_point(state: RaftState, req: AppendRequest) -> None:
+    """Check whether the entries committed before the start have been received.
+
+    A leader that a quorum still followed after its first request had all of them then.
+    One that no quorum follows may lack those of a newer leader.
+    """
+    if state.caught_up:
+        return
+    point = state.catch_up_point
+    if point is None or point.term != req.term:
+        point = CatchUpPoint(req.term, req.sent, req.commit)
+        state.catch_up_point = point
+    if req.confirmed >= point.sent and state.commit >= point.commit:
+        _check_caught_up(state)
+
+
 def _check_caught_up(state: RaftState) -> None:
     """Record that no earlier committed entry is missing, if the last is of this term.
 
--- a/src/snipecart/control/raft/state.py
+++ b/src/snipecart/control/raft/state.py
@@ -194,6 +194,16 @@
     """Time at which a snapshot was last sent, in seconds on the leader's clock."""
 
 
+@dataclass(frozen=True)
+class CatchUpPoint:
+    """Store what the first request from a leader stated."""
+
+    term: Term
+    sent: int
+    """Time at which it was sent, in microseconds of the leader's clock."""
+    commit: LogIndex
+
+
 @dataclass(frozen=True)
 class Membership:
     """Store the voters and learners that apply from a log index on."""
@@ -222,6 +232,8 @@
     caught_up: bool = False
     """Whether all entries that were committed before this process started are known
     here to be committed."""
+    catch_up_point: CatchUpPoint | None = None
+    """First request of the latest leader since the start, until caught up."""
     persisted_commit: LogIndex = LogIndex(0)
     """Value of ``commit`` in the last batch for the disk."""
     persist_commit_due: Instant = Instant(0.0)
@@ -255,6 +267,9 @@
     """Whether control processes on VMs without a voter in the log may join."""
     last_seen: dict[NodeId, Instant] = field(default_factory=dict)
     """Time of the last sign of life of each other voter, as far as known here."""
+    quorum_answered: int = 0
+    """Time of the latest request that a quorum had answered at the last tick, in
+    microseconds of this process's clock; used while it leads."""
     silent_voters: tuple[SilentVoter, ...] = ()
     """Voters that were silent at the last tick; used while this process leads."""
     waiting_joiners: dict[VmName, Node] = field(default_factory=dict)
--- a/src/snipecart/messages/raft.py
+++ b/src/snipecart/messages/raft.py
@@ -59,6 +59,9 @@
     sent: int
     silent: tuple[SilentVoter, ...] = ()
     """Voters that may be gone, so that the next leader knows for how long already."""
+    confirmed: int = 0
+    """Time of the latest request that a quorum has answered, by the clock of ``sent``;
+    0 if none was."""
 
 
 @message
--- a/src/snipecart/wire/schema.capnp
+++ b/src/snipecart/wire/schema.capnp
@@ -31,6 +31,7 @@
 struct AppendRequest {
   term @0 :UInt64; leader @1 :Text; previousIndex @2 :UInt64; previousTerm @3 :UInt64;
   entries @4 :List(Entry); commit @5 :UInt64; sent @6 :UInt64; silent @7 :List(SilentVoter);
+  confirmed @8 :UInt64;
 }
 struct SilentVoter { node @0 :Text; silence @1 :UInt64; }
 struct AppendAnswer {
--- a/tests/control/test_departures.py
+++ b/tests/control/test_departures.py
@@ -84,3 +84,32 @@
         cluster.run(0.02)
         assert not process.state.caught_up or process.machine.version == version
     assert process.state.caught_up
+
+
+def test_a_process_that_starts_beside_a_leader_without_a_quorum_has_not_caught_up():
+    # Such a leader doesn't know yet that others have committed more in a newer term.
+    for seed in range(40):
+        cluster = Cluster(seed, founders=("a", "b", "c", "d", "e"))
+        cluster.run(6.0)
+        leader = cluster.leader().vm
+        first, second, *others = [vm for vm in cluster.processes if vm != leader]
+        cluster.cut_links = {
+            pair
+            for vm in (leader, first)
+            for other in (second, *others)
+            for pair in ((vm, other), (other, vm))
+        }
+        cluster.run(1.0 + 0.02 * seed)
+        cluster.submit(1, cluster.newest_version())
+        cluster.run(0.2)
+        cluster.crash(first)
+        cluster.start(first)
+        process = cluster.processes[first]
+        version = max(cluster.accepted, default=0)
+        end = cluster.now + 4.0
+        while cluster.now < end:
+            cluster.run(0.02)
+            assert not process.state.caught_up or process.machine.version >= version
+        cluster.heal()
+        cluster.run(6.0)
+        assert process.state.caught_up
--- a/tests/control/test_publish.py
+++ b/tests/control/test_publish.py
@@ -47,7 +47,7 @@
     for sent, request in enumerate((entries, ()), start=1):
         previous = 3 if not request else 0
         message = AppendRequest(
-            2, "b/1", previous, 2 * bool(previous), request, 3, sent
+            2, "b/1", previous, 2 * bool(previous), request, 3, sent, (), sent - 1
         )
         node.handle(
             [IncomingMessage(message, lambda answer: None)], Instant(float(sent))
