Say that a table may be older while a process has no contact to a majority

What callers would see: a gateway that starts during a cut takes the table and the evacuations of a control process that is cut off, and that can't know of newer ones.

Cause: an answer said that it may be older until the process had caught up after its start, and never again.

Change: it says so as well while fewer than a majority of the voters are in contact. What remains: contact by gossip does not prove that the log is current; a process that its leader doesn't reach, but others do, may lag.

The new test failed before, and passes now; the one before it hears from a majority now, as it should.

--- a/src/snipecart/control/discovery/handlers.py
+++ b/src/snipecart/control/discovery/handlers.py
@@ -194,7 +194,7 @@
         gateways=task.live_gateways,
         ready=ready,
         absent_are_gone=in_contact and now > task.started_at + SILENCE_TIMEOUT,
-        may_be_behind=not committed_state.caught_up,
+        may_be_behind=not (committed_state.caught_up and in_contact),
     )
     follows = sync.wants_changes or sync.source == task.run_id
     req.reply(_add_rates(task, sync, answer, now) if ready and follows else answer)
--- a/src/snipecart/messages/discovery.py
+++ b/src/snipecart/messages/discovery.py
@@ -159,8 +159,8 @@
     rate_limits: tuple[RateLimit, ...] = ()
     """All rate limits that backend servers named."""
     may_be_behind: bool = False
-    """Whether the log of the process may lack entries that were committed before the
-    process started, and so newer routing tables and evacuations."""
+    """Whether the process may lack newer routing tables and evacuations: it has not
+    caught up with the log since its start, or has no contact to a majority."""
 
 
 @message
--- a/tests/control/test_discovery.py
+++ b/tests/control/test_discovery.py
@@ -625,10 +625,18 @@
     caught_up,
 ):
     control = TaskDriver(started_at=50.0, caught_up=caught_up)
+    control.receive_gossip(50.2, "c2")
     answer = control.send_sync_answer("g1", 50.3)
     assert answer.may_be_behind is not caught_up
 
 
+def test_a_process_that_is_cut_off_says_that_its_table_may_be_older():
+    control = TaskDriver(started_at=50.0)
+    control.receive_gossip(50.2, "c2")
+    assert not control.send_sync_answer("g1", 50.3).may_be_behind
+    assert control.send_sync_answer("g1", 60.0).may_be_behind
+
+
 def test_a_process_is_not_ready_before_its_log_has_caught_up():
     control = TaskDriver(started_at=50.0, caught_up=False)
     for now in (50.9, 51.8, 52.7):
