Test with real processes that a blank disk joins though its seeds are gone

The answer on the leader's own connection had been shown in simulated time only. Three control VMs that were all seeds are replaced one after the other; a fourth loses its disk and starts with the settings from before. Its new identity becomes a voter, and the voters are five, within 15 s.

--- a/tests/process/test_replaced_control.py
+++ b/tests/process/test_replaced_control.py
@@ -195,3 +195,27 @@
         newest = put_table(fleet, 2, NEWER_SERVICE)
         lose_power(fleet)
         check_recovery(fleet, servers, newest)
+
+
+def test_a_blank_disk_joins_though_all_seeds_in_its_settings_are_gone(fleet):
+    seeds = list(fleet.seeds)
+    for name in seeds:
+        fleet.kill(name)
+        time.sleep(JOIN_SECONDS)
+        fleet.add_control(name)
+        time.sleep(PACE_SECONDS - JOIN_SECONDS)
+    blank = next(name for name in list_controls(fleet) if name != find_leader(fleet))
+    fleet.kill(blank)
+    fleet.lose_data(blank)
+    time.sleep(JOIN_SECONDS)
+    fleet.seeds = seeds
+    fleet.start(blank, bootstrap=False)
+
+    identity = fleet.folder / "data" / blank / "identity"
+    wait_for(identity.exists)
+
+    def is_voter():
+        voters = list_events(fleet, find_leader(fleet), 2003)[-1]["voters"].split(",")
+        return identity.read_text() in voters and len(voters) == CONTROLS
+
+    assert holds_in_time(is_voter)
