Close the links of a control process while its membership changes

What operators would see: a planned stop of a control process ends with a traceback and without stopping the rest in order, if voters or learners change at that moment.

Cause: links are closed by the thread that stops the program while the node task still runs, and may open or close links. "dictionary changed size during iteration" ended the stop.

Ruled out: closing the links after the tasks have ended. It would remove the race and not only its failure, but changes the order of a stop; that has not been tried.

Change: a copy of the links is closed. A link that the node task opens meanwhile ends with the process.

--- a/src/snipecart/control/factory.py
+++ b/src/snipecart/control/factory.py
@@ -160,8 +160,8 @@
             link.post(Envelope(0, message))
 
     def close(self) -> None:
-        """Close all links."""
-        for link in self._links.values():
+        """Close all links, while the node task may still change them."""
+        for link in list(self._links.values()):
             link.stop(1.0)
 
     def _open(self, vm: VmName, node: Node) -> None:
