--- a/tests/control/test_links.py
+++ b/tests/control/test_links.py
@@ -101,3 +101,20 @@
 
 def test_a_voter_that_follows_a_leader_in_its_log_keeps_to_its_log():
     assert answer_join_request(leader="b/1") == {"a", "b"}
+
+
+def test_links_close_while_the_membership_changes(links, monkeypatch):
+    stopped = []
+
+    class ClosingLink(RecordingLink):
+        """Change the membership while it is stopped, as the node task may."""
+
+        def stop(self, grace):
+            stopped.append(self)
+            links.update_links((*nodes, Node("d/1", "d", "h", 4)))
+
+    monkeypatch.setattr(factory, "Link", ClosingLink)
+    nodes = (OTHER, Node("c/1", "c", "h", 3))
+    links.update_links(nodes)
+    links.close()
+    assert len(stopped) >= len(nodes)
