--- a/src/snipecart/control/disk/task.py
+++ b/src/snipecart/control/disk/task.py
@@ -15,11 +15,11 @@
 from ...core.task import Task
 from ..metrics import DISK_ERRORS
 from ..metrics import DISK_WRITABLE
-from ..raft.state import DiskStateChanged
-from ..raft.state import Persist
-from ..raft.state import PersistSnapshot
-from ..raft.state import SendAfterSync
-from ..raft.state import SyncCompletion
+from ..raft.effects import Persist
+from ..raft.effects import PersistSnapshot
+from ..raft.effects import SendAfterSync
+from ..raft.events import DiskStateChanged
+from ..raft.events import SyncCompletion
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/snipecart/control/effects.py
+++ b/src/snipecart/control/effects.py
@@ -23,16 +23,16 @@
 from .metrics import QUORUM_SIZE
 from .metrics import VOTERS
 from .metrics import VOTERS_ANSWERING
-from .raft.state import Apply
-from .raft.state import ElectionFailed
-from .raft.state import MembershipChange
-from .raft.state import Persist
-from .raft.state import PersistSnapshot
-from .raft.state import QuorumChange
-from .raft.state import Restore
-from .raft.state import RoleChange
-from .raft.state import Send
-from .raft.state import SendAfterSync
+from .raft.effects import Apply
+from .raft.effects import ElectionFailed
+from .raft.effects import MembershipChange
+from .raft.effects import Persist
+from .raft.effects import PersistSnapshot
+from .raft.effects import QuorumChange
+from .raft.effects import Restore
+from .raft.effects import RoleChange
+from .raft.effects import Send
+from .raft.effects import SendAfterSync
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/snipecart/control/node.py
+++ b/src/snipecart/control/node.py
@@ -36,13 +36,13 @@
 from .machine.state import MachineState
 from .machine.state import dump_state
 from .raft import timing
+from .raft.events import Compact
+from .raft.events import Flush
+from .raft.events import Tick
 from .raft.membership import make_join_request
 from .raft.membership import select_contacts
 from .raft.state import HANDLERS
-from .raft.state import Compact
-from .raft.state import Flush
 from .raft.state import RaftState
-from .raft.state import Tick
 from .raft.state import step
 from .requests import REQUESTS
 from .requests import LeaderWaiter
--- a/src/snipecart/control/raft/election.py
+++ b/src/snipecart/control/raft/election.py
@@ -13,21 +13,21 @@
 from ...messages.raft import VoteAnswer
 from ...messages.raft import VoteRequest
 from . import timing
+from .effects import ElectionFailed
+from .effects import Persist
+from .effects import RoleChange
+from .effects import Send
+from .effects import SendAfterSync
+from .events import DiskStateChanged
+from .events import Flush
+from .events import Propose
 from .silence import record_own_answers
 from .silence import record_sign_of_life
 from .silence import update_silent
 from .state import HANDLERS
-from .state import DiskStateChanged
 from .state import Effect
-from .state import ElectionFailed
-from .state import Flush
-from .state import Persist
 from .state import Progress
-from .state import Propose
 from .state import RaftState
-from .state import RoleChange
-from .state import Send
-from .state import SendAfterSync
 from .state import step
 
 
--- a/src/snipecart/control/raft/membership.py
+++ b/src/snipecart/control/raft/membership.py
@@ -13,17 +13,17 @@
 from ...messages.commands import Node
 from ...messages.raft import JoinRequest
 from . import timing
+from .effects import MembershipChange
+from .effects import RemovedVoter
+from .effects import Send
+from .events import Propose
 from .silence import may_be_replaced
 from .silence import record_sign_of_life
 from .silence import seconds_silent
 from .state import HANDLERS
 from .state import Effect
-from .state import MembershipChange
 from .state import Progress
-from .state import Propose
 from .state import RaftState
-from .state import RemovedVoter
-from .state import Send
 from .state import step
 
 MIN_VOTERS = 3
--- a/src/snipecart/control/raft/quorum.py
+++ b/src/snipecart/control/raft/quorum.py
@@ -7,10 +7,12 @@
 
 from ...core.states import Role
 from . import timing
+from .effects import QuorumChange
 
 if TYPE_CHECKING:
     from ...core.ids import Instant
     from ...core.ids import NodeId
+    from .state import Effect
     from .state import RaftState
 
 
@@ -40,3 +42,12 @@
     silent = tuple(voter.node for voter in state.silent_voters)
     voters = len(state.voters)
     return Quorum(voters, voters - len(silent), state.quorum_size(), silent)
+
+
+def report_quorum(state: RaftState, now: Instant) -> list[Effect]:
+    """Report the voters that answer this leader if they have changed."""
+    quorum = describe_quorum(state, now)
+    if quorum == state.reported_quorum:
+        return []
+    state.reported_quorum = quorum
+    return [QuorumChange(quorum)]
--- a/src/snipecart/control/raft/replication.py
+++ b/src/snipecart/control/raft/replication.py
@@ -13,32 +13,32 @@
 from ...messages.raft import AppendAnswer
 from ...messages.raft import AppendRequest
 from . import timing
+from .catch_up import check_catch_up_point
+from .catch_up import check_caught_up
+from .effects import Apply
+from .effects import Persist
+from .effects import Send
+from .effects import SendAfterSync
 from .election import become_follower
 from .election import count_own_vote
 from .election import start_pre_vote
+from .events import Flush
+from .events import Propose
+from .events import SyncCompletion
+from .events import Tick
 from .following import accept_leader
 from .following import make_append_answer
 from .membership import describe_change
 from .membership import maintain_voters
-from .quorum import describe_quorum
+from .quorum import report_quorum
 from .silence import record_reported_silence
 from .silence import update_silent
 from .snapshots import send_snapshot
 from .state import HANDLERS
-from .state import Apply
-from .state import CatchUpPoint
 from .state import Effect
-from .state import Flush
 from .state import Membership
-from .state import Persist
 from .state import Progress
-from .state import Propose
-from .state import QuorumChange
 from .state import RaftState
-from .state import Send
-from .state import SendAfterSync
-from .state import SyncCompletion
-from .state import Tick
 
 MAX_APPEND_ENTRIES = 256
 """Maximum number of entries in one append request."""
@@ -62,7 +62,7 @@
     starts a pre-vote once its election timeout has passed.
     """
     update_silent(state, now)
-    effects = [*_persist_commit(state, now), *_report_quorum(state, now)]
+    effects = [*_persist_commit(state, now), *report_quorum(state, now)]
     if state.role is not Role.LEADER:
         if now >= state.election_due:
             effects += start_pre_vote(state, now)
@@ -80,15 +80,6 @@
     return effects
 
 
-def _report_quorum(state: RaftState, now: Instant) -> list[Effect]:
-    """Report the voters that answer this leader if they have changed."""
-    quorum = describe_quorum(state, now)
-    if quorum == state.reported_quorum:
-        return []
-    state.reported_quorum = quorum
-    return [QuorumChange(quorum)]
-
-
 def _persist_commit(state: RaftState, now: Instant) -> list[Effect]:
     """Persist a newer commit index, at most once in COMMIT_PERSIST_INTERVAL.
 
@@ -191,7 +182,7 @@
     effects += _store_entries(state, req.entries, now)
     matched = LogIndex(previous + len(req.entries))
     effects += advance_commit(state, min(req.commit, matched))
-    _check_catch_up_point(state, req)
+    check_catch_up_point(state, req)
     return [
         *effects,
         SendAfterSync(req.leader, make_append_answer(state, req.sent, True, matched)),
@@ -267,31 +258,6 @@
     return [Apply(entries)]
 
 
-def _check_catch_up_point(state: RaftState, req: AppendRequest) -> None:
-    """Check whether the entries committed before the start have been received.
-
-    A leader that a quorum still followed after its first request had all of them then.
-    One that no quorum follows may lack those of a newer leader.
-    """
-    if state.caught_up:
-        return
-    point = state.catch_up_point
-    if point is None or point.term != req.term:
-        point = CatchUpPoint(req.term, req.sent, req.commit)
-        state.catch_up_point = point
-    if req.confirmed >= point.sent and state.commit >= point.commit:
-        _check_caught_up(state)
-
-
-def _check_caught_up(state: RaftState) -> None:
-    """Record that no earlier committed entry is missing, if the last is of this term.
-
-    A leader commits an entry of its own term only after all entries before it.
-    """
-    if state.log.term_at(state.commit) == state.term:
-        state.caught_up = True
-
-
 @HANDLERS.register(AppendAnswer)
 def handle_append_answer(
     state: RaftState, answer: AppendAnswer, now: Instant
@@ -344,7 +310,7 @@
     if state.log.term_at(index) != state.term:
         return []
     effects = advance_commit(state, index)
-    _check_caught_up(state)
+    check_caught_up(state)
     return effects
 
 
--- a/src/snipecart/control/raft/snapshots.py
+++ b/src/snipecart/control/raft/snapshots.py
@@ -8,20 +8,20 @@
 from ...core.states import DiskState
 from ...messages.raft import DiskSnapshot
 from ...messages.raft import SnapshotRequest
+from .effects import PersistSnapshot
+from .effects import Restore
+from .effects import Send
+from .effects import SendAfterSync
+from .events import Compact
 from .following import accept_leader
 from .following import make_append_answer
 from .log import Log
 from .membership import describe_change
 from .state import HANDLERS
-from .state import Compact
 from .state import Effect
 from .state import Membership
-from .state import PersistSnapshot
 from .state import Progress
 from .state import RaftState
-from .state import Restore
-from .state import Send
-from .state import SendAfterSync
 
 if TYPE_CHECKING:
     from ...core.ids import Instant
--- a/src/snipecart/control/raft/state.py
+++ b/src/snipecart/control/raft/state.py
@@ -1,4 +1,4 @@
-"""Define the Raft state of one control process, its events and its effects."""
+"""Define the Raft state of one control process, and pass events to their handlers."""
 
 from __future__ import annotations
 
@@ -12,7 +12,6 @@
 from ...core.ids import LogIndex
 from ...core.ids import NodeId
 from ...core.ids import Term
-from ...core.ids import UnixMillis
 from ...core.registry import Registry
 from ...core.states import DiskState
 from ...core.states import Role
@@ -24,12 +23,12 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from ...core.ids import Millis
     from ...core.ids import VmName
     from ...messages.commands import Entry
     from ...messages.commands import Node
     from ...messages.raft import DiskSnapshot
     from ...messages.raft import SilentVoter
+    from .effects import ElectionFailed
     from .quorum import Quorum
 
 
@@ -37,142 +36,6 @@
 """``cut_from`` of a batch that removes no entries."""
 
 
-@dataclass(frozen=True)
-class Tick:
-    """Check the election and heartbeat timers."""
-
-
-@dataclass(frozen=True)
-class Propose:
-    """Append a command to the log if this process is the leader."""
-
-    command: Any
-    at: UnixMillis
-
-
-@dataclass(frozen=True)
-class Flush:
-    """Send the followers the entries that were appended since the last flush."""
-
-
-@dataclass(frozen=True)
-class SyncCompletion:
-    """Report that the vote in ``term`` and the log up to ``index`` are durable.
-
-    ``index_term`` is the term of the entry at ``index``, or -1 if no entry was synced.
-    """
-
-    term: Term
-    index: LogIndex
-    index_term: int
-
-
-@dataclass(frozen=True)
-class DiskStateChanged:
-    """Report that the data folder can't be written, or can be written again."""
-
-    disk: DiskState
-
-
-@dataclass(frozen=True)
-class Compact:
-    """Replace the log up to an applied index by a snapshot of the applied state."""
-
-    state: bytes
-    index: LogIndex
-
-
-@dataclass(frozen=True)
-class Send:
-    """Send a message to a peer."""
-
-    to: NodeId
-    message: Any
-
-
-@dataclass(frozen=True)
-class SendAfterSync:
-    """Send a message once every earlier effect for the disk is durable."""
-
-    to: NodeId
-    message: Any
-
-
-@dataclass(frozen=True)
-class Persist:
-    """Make a batch durable in the log file."""
-
-    batch: DiskBatch
-
-
-@dataclass(frozen=True)
-class PersistSnapshot:
-    """Make a snapshot durable and replace the log file by the remaining entries."""
-
-    snapshot: DiskSnapshot
-    rest: DiskBatch
-
-
-@dataclass(frozen=True)
-class Apply:
-    """Apply committed entries in order."""
-
-    entries: tuple[Entry, ...]
-
-
-@dataclass(frozen=True)
-class Restore:
-    """Replace the applied state by the state in a snapshot."""
-
-    snapshot: DiskSnapshot
-
-
-@dataclass(frozen=True)
-class RoleChange:
-    """Report that this process became a leader or stopped being one."""
-
-    role: Role
-    term: Term
-
-
-@dataclass(frozen=True)
-class RemovedVoter:
-    """Name a voter that was removed, and its silence if this process leads."""
-
-    node: NodeId
-    silence: Millis | None
-
-
-@dataclass(frozen=True)
-class MembershipChange:
-    """Report the latest membership in the log, and how its voters have changed."""
-
-    voters: tuple[Node, ...]
-    learners: tuple[Node, ...]
-    added: tuple[NodeId, ...]
-    removed: tuple[RemovedVoter, ...]
-
-
-@dataclass(frozen=True)
-class ElectionFailed:
-    """Report that a candidate got no quorum in time."""
-
-    term: Term
-    pre_vote: bool
-    voters: tuple[NodeId, ...]
-    granted: tuple[NodeId, ...]
-    refused: tuple[NodeId, ...]
-    silent: tuple[NodeId, ...]
-    """Voters that neither granted nor refused their vote."""
-
-
-@dataclass(frozen=True)
-class QuorumChange:
-    """Report a change of the voters that answer; None once it isn't known any more."""
-
-    quorum: Quorum | None
-
-
 Effect = Any
 Handler = Callable[["RaftState", Any, Instant], list[Effect]]
 
--- a/src/snipecart/control/requests.py
+++ b/src/snipecart/control/requests.py
@@ -30,7 +30,7 @@
 from ..messages.members import TextAnswer
 from ..messages.raft import JoinAnswer
 from ..messages.raft import JoinRequest
-from .raft.state import Propose
+from .raft.events import Propose
 from .raft.state import step
 from .raft.status import leaderless_status
 from .raft.status import quorum_status
--- a/tests/control/logged_cluster.py
+++ b/tests/control/logged_cluster.py
@@ -9,10 +9,10 @@
 import logbook
 
 from snipecart.control.effects import EFFECTS
-from snipecart.control.raft.state import ElectionFailed
-from snipecart.control.raft.state import MembershipChange
-from snipecart.control.raft.state import QuorumChange
-from snipecart.control.raft.state import RoleChange
+from snipecart.control.raft.effects import ElectionFailed
+from snipecart.control.raft.effects import MembershipChange
+from snipecart.control.raft.effects import QuorumChange
+from snipecart.control.raft.effects import RoleChange
 
 from .open_cluster import OpenCluster
 
--- a/tests/control/test_compaction.py
+++ b/tests/control/test_compaction.py
@@ -8,12 +8,12 @@
 from snipecart.control.node import SNAPSHOT_BYTES
 from snipecart.control.node import NodeOutputs
 from snipecart.control.node import NodeTask
+from snipecart.control.raft.effects import PersistSnapshot
+from snipecart.control.raft.events import SyncCompletion
 from snipecart.control.raft.log import Log
 from snipecart.control.raft.replication import MAX_APPEND_BYTES
 from snipecart.control.raft.replication import MAX_APPEND_ENTRIES
 from snipecart.control.raft.snapshots import TRAILING_BYTES
-from snipecart.control.raft.state import PersistSnapshot
-from snipecart.control.raft.state import SyncCompletion
 from snipecart.core.message import payload_size
 from snipecart.messages.commands import Entry
 from snipecart.messages.commands import Node
--- a/tests/control/test_disk_errors.py
+++ b/tests/control/test_disk_errors.py
@@ -14,11 +14,11 @@
 from snipecart.control.disk.store import bootstrap_log
 from snipecart.control.disk.store import recover
 from snipecart.control.disk.task import DiskTask
-from snipecart.control.raft.state import DiskStateChanged
-from snipecart.control.raft.state import Persist
-from snipecart.control.raft.state import PersistSnapshot
-from snipecart.control.raft.state import SendAfterSync
-from snipecart.control.raft.state import SyncCompletion
+from snipecart.control.raft.effects import Persist
+from snipecart.control.raft.effects import PersistSnapshot
+from snipecart.control.raft.effects import SendAfterSync
+from snipecart.control.raft.events import DiskStateChanged
+from snipecart.control.raft.events import SyncCompletion
 from snipecart.core.ids import Instant
 from snipecart.core.states import DiskState
 from snipecart.messages.commands import Entry
--- a/tests/control/test_membership.py
+++ b/tests/control/test_membership.py
@@ -9,16 +9,16 @@
 
 from snipecart.control import raft
 from snipecart.control.raft import timing
+from snipecart.control.raft.effects import MembershipChange
+from snipecart.control.raft.effects import RemovedVoter
+from snipecart.control.raft.effects import Send
 from snipecart.control.raft.election import become_leader
 from snipecart.control.raft.membership import maintain_voters
 from snipecart.control.raft.silence import record_own_answers
 from snipecart.control.raft.silence import seconds_silent
 from snipecart.control.raft.state import Membership
-from snipecart.control.raft.state import MembershipChange
 from snipecart.control.raft.state import Progress
 from snipecart.control.raft.state import RaftState
-from snipecart.control.raft.state import RemovedVoter
-from snipecart.control.raft.state import Send
 from snipecart.control.raft.state import step
 from snipecart.core.events import VOTERS_CHANGED
 from snipecart.core.ids import Instant
--- a/tests/control/test_quorum.py
+++ b/tests/control/test_quorum.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
+from snipecart.control.raft.effects import ElectionFailed
+from snipecart.control.raft.events import Tick
 from snipecart.control.raft.quorum import describe_quorum
-from snipecart.control.raft.state import ElectionFailed
-from snipecart.control.raft.state import Tick
 from snipecart.control.raft.state import step
 
 from .cluster import VMS
--- a/tests/control/test_recovery.py
+++ b/tests/control/test_recovery.py
@@ -17,10 +17,10 @@
 from snipecart.control.factory import restore_raft_state
 from snipecart.control.machine.state import MachineState
 from snipecart.control.machine.state import dump_state
+from snipecart.control.raft.effects import Persist
+from snipecart.control.raft.events import SyncCompletion
+from snipecart.control.raft.events import Tick
 from snipecart.control.raft.replication import CommittedEntryLost
-from snipecart.control.raft.state import Persist
-from snipecart.control.raft.state import SyncCompletion
-from snipecart.control.raft.state import Tick
 from snipecart.control.raft.state import step
 from snipecart.control.recovery import RECOVERY_TERM_STEP
 from snipecart.control.recovery import PeerAddress
