--- a/review/standins2/clients.py
+++ b/review/standins2/clients.py
@@ -36,6 +36,10 @@
         opening = asyncio.open_connection(self.host, FRONT)
         self.reader, self.writer = await asyncio.wait_for(opening, 1.0)
 
+    def is_closed(self) -> bool:
+        """Return whether the other side has closed the connection."""
+        return self.reader is not None and self.reader.at_eof()
+
     def close(self) -> None:
         """Close the connection."""
         if self.writer is not None:
--- a/review/standins2/endpoints.py
+++ b/review/standins2/endpoints.py
@@ -145,11 +145,11 @@
         load = f"{min(self._held, self.slots)},{waiting},{self.slots}"
         lines = [
             f"HTTP/1.1 {status}",
+            *(["Not-Executed: 1"] if rejects else []),
+            f"Server-Load: {load}",
             f"Request-Id: {request.id}",
             f"Server-Signature: {self.id}.{request.id}.{status[:3]}",
-            f"Server-Load: {load}",
             f"Content-Length: {len(body)}",
-            *(["Not-Executed: 1"] if rejects else []),
         ]
         return "\r\n".join([*lines, "", ""]).encode() + body
 
