Show that the ack of a draining endpoint is forgotten

Cause: the table of endpoints keeps the earlier address of an endpoint that has started again elsewhere, takes the next endpoint at that address for outdated, and acknowledges its reports without using them; a control process that was restarted takes it in.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,5 +2,4 @@
 # Build the stand-ins of the second review: they are plain Python, so this compiles them.
 set -eu
 cd "$(dirname "$0")/.."
-python3 -m compileall -q review/standins2 review/6 review/7 review/8 review/9 review/10 \
-    2>/dev/null || python3 -m compileall -q review/standins2
+python3 -m compileall -q review/standins2 review/6 review/7 review/8 review/9 review/10
--- a/review/standins2/endpoints.py
+++ b/review/standins2/endpoints.py
@@ -56,10 +56,12 @@
         slots: int = 9,
         queue: int = 27,
         work_s: float = 0.05,
+        address: int = 0,
     ) -> None:
         self.fleet, self.record = fleet, record
         self.id, self.service, self.zone = f"i-{number}", service, zone
-        self.host = f"{fleet.net}.3.{number}"
+        self.host = f"{fleet.net}.3.{address or number}"
+        self.state = "ready"
         self.slots, self.queue, self.work_s = slots, queue, work_s
         self.runs: list[str] = []
         """Ids of the requests that it began to work on."""
@@ -69,46 +71,60 @@
         self._born, self._sequence = int(time.time() * 1000), 0
         self._tasks: list[asyncio.Task[None]] = []
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
-    async def start(self) -> None:
+    async def start(self, first_report_s: float = 0.0) -> None:
         """Listen, and report until the endpoint is closed."""
         self._server = await asyncio.start_server(self._serve, self.host, ENDPOINT_PORT)
-        self._tasks.append(asyncio.create_task(self._report()))
+        self._tasks.append(asyncio.create_task(self._report_often(first_report_s)))
 
     def close(self) -> None:
-        """Stop reporting and listening."""
+        """Stop reporting and listening, and close all connections."""
         for task in self._tasks:
             task.cancel()
         if self._server is not None:
             self._server.close()
+        for writer in list(self._writers):
+            writer.close()
 
-    async def _report(self) -> None:
-        path = f"/-/Instances.Heartbeat/{self.id}"
+    async def _report_often(self, first_report_s: float) -> None:
+        await asyncio.sleep(first_report_s)
         while True:
-            self._sequence += 1
-            info = {
-                "backend": self.service,
-                "version": "v1",
-                "zone": self.zone,
-                "slots": self.slots,
-            }
-            status = {
-                "state": "ready",
-                "sequence": self._sequence,
-                "cold_remaining": "0ms",
-            }
-            fields = {"address": f"{self.host}:{ENDPOINT_PORT}", "born": self._born}
-            body = json.dumps({**fields, "info": info, "status": status}).encode()
-            await asyncio.to_thread(self.fleet.order, "POST", path, body, 1)
+            await self.report()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    async def report(self) -> bool:
+        """Report the state to any control process; return whether it was acknowledged.
+
+        Like every caller, it picks among them at random.
+        """
+        self._sequence += 1
+        info = {
+            "backend": self.service,
+            "version": "v1",
+            "zone": self.zone,
+            "slots": self.slots,
+        }
+        status = {
+            "state": self.state,
+            "sequence": self._sequence,
+            "cold_remaining": "0ms",
+        }
+        fields = {"address": f"{self.host}:{ENDPOINT_PORT}", "born": self._born}
+        body = json.dumps({**fields, "info": info, "status": status}).encode()
+        path = f"/-/Instances.Heartbeat/{self.id}"
+        answered = await asyncio.to_thread(self.fleet.order, "POST", path, body, 1)
+        return answered == 200
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         with suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 request = await read_request(reader)
                 await self.handle(request, writer)
+        self._writers.discard(writer)
         writer.close()
 
     async def handle(self, request: Request, writer: asyncio.StreamWriter) -> None:
