Review: state the contracts in the settings of the stand-ins

Cause: settings files of the platform name the contracts in force; those of the stand-ins did not.

Done: the settings state them.

--- a/review/standins3/harness.py
+++ b/review/standins3/harness.py
@@ -50,6 +50,19 @@
     "max_region_shift=0.15",
 )
 
+CONTRACTS = ("base", "drain", "config", "cost", "retry", "recover", "places")
+
+TENANT_CONTRACTS = ("tenants", "quota")
+
+TENANT_BOUNDS = (
+    "strict_revoke=true",
+    "revoke=5000ms",
+    "quota_window=5s",
+    "quota_overage=0.1",
+    "quota_slack=20",
+)
+"""Further bounds of a deployment whose manifests have tenants."""
+
 PORT_NAMES = ("front", "readiness", "control", "directory")
 
 SERVES = {"edge": ["edge"], "core": ["control_plane", "directory"]}
@@ -104,6 +117,7 @@
     def __init__(self, folder: Path, record: Record, extra_bounds: tuple = ()) -> None:
         self.folder, self.record = folder, record
         self.bounds = (*BOUNDS, *extra_bounds)
+        self.contracts = (*CONTRACTS, *(TENANT_CONTRACTS if extra_bounds else ()))
         self.base = free_base_port()
         self.net = f"127.{random.randrange(16, 200)}.{random.randrange(1, 250)}"
         self.processes: dict[str, subprocess.Popen] = {}
@@ -164,6 +178,7 @@
             'discovery = "registration"',
             'entry = "directory"',
             f'heartbeat_interval = "{int(HEARTBEAT_SECONDS * 1000)}ms"',
+            f"contracts = {json.dumps(list(self.contracts))}",
             f"bounds = {json.dumps(list(self.bounds))}",
             'config_mode = "highest"',
         ]
