Require keys where the last organisation is removed from the routing table

Callers saw: after a table whose list of organisations is empty was acknowledged, requests ran with the key that it took away, and with keys that no table ever had. The key reached the backend server, and the client chose the organisation's name.

Cause: an empty list and no list read the same in the adapter, the stored form, the model and the gateway's index.

Change: the model has a value for no list, and keys are required wherever there is a list. In stored tables an organisation without keys stands for the empty list, since gateways of an earlier version read an empty list as none. null in its place is refused. The log line of a table in force, the status and a metric tell whether keys are required.

This works as each step now carries which of the two it was, from the operator's document to the decision of a request.

--- a/src/snipecart/cli/fleet.py
+++ b/src/snipecart/cli/fleet.py
@@ -82,7 +82,7 @@
         f" one of {balancing['gateways']} gateways",
         "  servers: " + ", ".join(f"{count} {name}" for name, count in counts.items()),
     ]
-    if balancing.get("organisations"):
+    if balancing.get("keys_required", balancing.get("organisations")):
         lines.append(f"  {_describe_organisations(sync, balancing)}")
     if balancing.get("plan"):
         number = describe_plan(balancing["plan"])
--- a/src/snipecart/gateway/balancing/routes.py
+++ b/src/snipecart/gateway/balancing/routes.py
@@ -29,18 +29,17 @@
         self.routed_services = frozenset(
             target.service for route in routing.routes for target in route.targets
         )
-        self.limits_organisations = any(
-            item.rate_per_s for item in routing.organisations
-        )
+        organisations = routing.listed_organisations
+        self.limits_organisations = any(item.rate_per_s for item in organisations)
         self._ranks = sorted(
             {route.rank for route in routing.routes}
-            | {item.rank for item in routing.organisations if item.rank is not None}
+            | {item.rank for item in organisations if item.rank is not None}
         )
-        self.requires_keys = bool(routing.organisations)
-        """Whether the table lists organisations, so that requests need API keys."""
+        self.requires_keys = routing.organisations is not None
+        """Whether requests need API keys; so it is if the list is empty, too."""
         self._by_digest: dict[KeyDigest, Organisation] = {
             digest: organisation
-            for organisation in routing.organisations
+            for organisation in organisations
             for digest in organisation.key_digests
         }
         for route in routing.routes:
--- a/src/snipecart/gateway/balancing/state.py
+++ b/src/snipecart/gateway/balancing/state.py
@@ -181,7 +181,13 @@
     state.index = RouteIndex(routing)
     state.traffic_splits = TrafficSplits()
     state.preferences.clear()
-    emit(ROUTING_IN_FORCE, version=routing.version, routes=len(routing.routes))
+    emit(
+        ROUTING_IN_FORCE,
+        version=routing.version,
+        routes=len(routing.routes),
+        organisations=len(routing.listed_organisations),
+        keys_required=state.index.requires_keys,
+    )
 
 
 def apply_instance(state: BalancerState, received: Instance, now: Instant) -> None:
--- a/src/snipecart/gateway/balancing/task.py
+++ b/src/snipecart/gateway/balancing/task.py
@@ -27,6 +27,7 @@
 from ...messages.discovery import RateLimit
 from ...messages.discovery import SyncAnswer
 from ...messages.discovery import digest_instances
+from ..metrics import KEYS_REQUIRED
 from ..metrics import ORGANISATIONS
 from ..metrics import ROUTING_VERSION
 from ..request import SendResult
@@ -200,7 +201,8 @@
         state = self.state
         if state.index is not self.view.index:
             ROUTING_VERSION.set(state.index.routing.version)
-            ORGANISATIONS.set(len(state.index.routing.organisations))
+            ORGANISATIONS.set(len(state.index.routing.listed_organisations))
+            KEYS_REQUIRED.set(state.index.requires_keys)
         self.view = View(
             state.index,
             int(state.evacuation_index),
--- a/src/snipecart/gateway/inspect.py
+++ b/src/snipecart/gateway/inspect.py
@@ -104,6 +104,8 @@
     """Number of the placement plan; 0 for none."""
     planned_objects: int = 0
     """Objects that the plan assigns; 0 while it isn't in use."""
+    keys_required: bool = False
+    """Whether requests need API keys, also where there is no organisation."""
 
 
 @dataclass(frozen=True)
@@ -185,9 +187,10 @@
             for (service, region), load in sorted(state.service_loads.items())
         ),
         tuple(describe_server(state, item, now) for item in state.servers.values()),
-        len(state.index.routing.organisations) if state.index is not None else 0,
+        len(state.index.routing.listed_organisations) if state.index is not None else 0,
         state.placement.number,
         len(state.placement.placed) if state.placement.in_use else 0,
+        state.index is not None and state.index.requires_keys,
     )
 
 
--- a/src/snipecart/gateway/metrics.py
+++ b/src/snipecart/gateway/metrics.py
@@ -49,6 +49,10 @@
 ORGANISATIONS = Gauge(
     "snipecart_gateway_organisations", "Organisations in the routing table in force"
 )
+KEYS_REQUIRED = Gauge(
+    "snipecart_gateway_keys_required",
+    "1 if the routing table in force lists organisations or an empty list of them",
+)
 TABLE_PROOF_AGE = Gauge(
     "snipecart_gateway_table_proof_age_seconds",
     "Age of the proof that the routing table is current; -1 without one",
--- a/src/snipecart/platform/manifest.py
+++ b/src/snipecart/platform/manifest.py
@@ -14,6 +14,7 @@
 from ..text.routing import Routing
 from ..text.routing import check_routing
 from .names import IDEMPOTENT
+from .tenants import TENANTS
 from .tenants import hide_values
 from .tenants import name_document_paths
 from .tenants import translate_tenants
@@ -48,9 +49,9 @@
             _translate_service(item) for item in read_field(document, "backends", list)
         ],
     }
-    organisations = translate_tenants(document)
-    if organisations:
-        fields["organisations"] = organisations
+    # An empty list differs from none: it admits no key.
+    if TENANTS in document:
+        fields["organisations"] = translate_tenants(document[TENANTS])
     if "limits" in document:
         fields["limits"] = _translate_limits(read_field(document, "limits", dict))
     return fields
--- a/src/snipecart/platform/tenants.py
+++ b/src/snipecart/platform/tenants.py
@@ -44,11 +44,8 @@
         self.path = path
 
 
-def translate_tenants(document: dict[str, Any]) -> list[dict[str, Any]]:
-    """Return the organisations in a routing document; none if it lists no tenants."""
-    tenants = document.get(TENANTS)
-    if tenants is None:
-        return []
+def translate_tenants(tenants: Any) -> list[dict[str, Any]]:
+    """Return the organisations in a routing document's list of tenants."""
     _expect(isinstance(tenants, list), f"$.{TENANTS}", "a list")
     return [
         _translate_tenant(item, f"$.{TENANTS}[{at}]") for at, item in enumerate(tenants)
@@ -141,7 +138,7 @@
     """Return the routing table, or TextInvalid if a tenant names an unknown region."""
     faults = tuple(
         Fault(f"$.{TENANTS}[{at}].allowed_regions[{index}]", "unknown_region", region)
-        for at, organisation in enumerate(routing.organisations)
+        for at, organisation in enumerate(routing.listed_organisations)
         for index, region in enumerate(organisation.regions)
         if region not in regions
     )
--- a/src/snipecart/text/routing.py
+++ b/src/snipecart/text/routing.py
@@ -105,6 +105,13 @@
         return tuple(dict.fromkeys(digests))
 
 
+NO_ORGANISATION = Organisation(name=OrganisationName("no-organisation"))
+"""Stands for the empty list of organisations in a stored table.
+
+Gateways of an earlier version read an empty list as none, and would need no key.
+"""
+
+
 class RoutedService(Part):
     """Represent a service whose backend servers run the requests of routes."""
 
@@ -134,8 +141,25 @@
     routes: Annotated[tuple[Route, ...], Field(strict=False)]
     services: Annotated[tuple[RoutedService, ...], Field(strict=False)]
     limits: ClientLimits = ClientLimits()
-    organisations: Annotated[tuple[Organisation, ...], Field(strict=False)] = ()
-    """Organisations with API keys; requests need no key if there are none."""
+    organisations: Annotated[tuple[Organisation, ...], Field(strict=False)] | None = (
+        None
+    )
+    """Organisations with API keys; None if requests need no key.
+
+    An empty list admits no key, so it leaves only routes that allow anonymous requests.
+    """
+
+    @field_validator("organisations")
+    @classmethod
+    def _drop_stand_in(
+        cls, organisations: tuple[Organisation, ...] | None
+    ) -> tuple[Organisation, ...] | None:
+        return () if organisations == (NO_ORGANISATION,) else organisations
+
+    @property
+    def listed_organisations(self) -> tuple[Organisation, ...]:
+        """Return the organisations, whether the list is empty or there is none."""
+        return self.organisations or ()
 
 
 def _find_faults(routing: Routing) -> Iterator[Fault]:
@@ -149,7 +173,7 @@
         if excess_ms >= MAX_TARGET_OVER_TIMEOUT_MS:
             path = f"$.routes[{at}].target_latency_ms"
             yield Fault(path, "target_over_timeout", f"{excess_ms} ms over the timeout")
-    yield from _find_shared_names_and_keys(routing.organisations)
+    yield from _find_shared_names_and_keys(routing.listed_organisations)
 
 
 def _find_shared_names_and_keys(
@@ -208,19 +232,21 @@
         return []
     return [
         (item["name"], item.get("rate_per_s", 0.0), item.get("burst", 0.0))
-        for item in document.ok.get("organisations", ())
+        for item in document.ok.get("organisations") or ()
     ]
 
 
 def dump_routing(routing: Routing) -> bytes:
     """Return the routing table as JSON.
 
-    Omit what concerns API keys where there is none: gateways of an earlier version
+    Omit what concerns API keys where none is needed: gateways of an earlier version
     would reject the unknown fields.
     """
     exclude: dict[str, Any] = {}
-    if not routing.organisations:
+    if routing.organisations is None:
         exclude["organisations"] = True
+    elif not routing.organisations:
+        routing = routing.model_copy(update={"organisations": (NO_ORGANISATION,)})
     if not any(route.allow_anonymous for route in routing.routes):
         exclude["routes"] = {"__all__": {"allow_anonymous"}}
     return routing.model_dump_json(exclude=exclude).encode()
--- a/tests/gateway/test_authentication.py
+++ b/tests/gateway/test_authentication.py
@@ -46,17 +46,20 @@
 OPEN = {"prefix": "/open/", "allow_anonymous": True}
 
 
-def make_index(*organisations, version=1):
+def make_index(*organisations, version=1, lists=True):
+    """Index a table that lists these organisations, or has no list at all."""
     routing = make_routing(
         make_route(rank=2), make_route("open", rank=1, **OPEN), version=version
     )
-    return RouteIndex(routing.model_copy(update={"organisations": organisations}))
+    update = {"organisations": organisations} if lists else {}
+    return RouteIndex(routing.model_copy(update=update))
 
 
-INDEX, NO_KEYS, REMOVED = (
+INDEX, NO_KEYS, REMOVED, LAST_REMOVED = (
     make_index(ACME),
-    make_index(),
+    make_index(lists=False),
     make_index(Organisation(name="other"), version=2),
+    make_index(version=2),
 )
 
 
@@ -107,6 +110,19 @@
     assert decide(NO_KEYS, path, key) is None
 
 
+@pytest.mark.parametrize(
+    "path, key, expected",
+    [
+        ("/look/x", DIGEST, "api_key_unknown"),
+        ("/look/x", None, "api_key_missing"),
+        ("/open/x", DIGEST, "api_key_unknown"),
+        ("/open/x", None, None),
+    ],
+)
+def test_a_table_whose_last_organisation_is_removed_admits_no_key(path, key, expected):
+    assert decide(LAST_REMOVED, path, key) == expected
+
+
 def test_a_known_key_needs_a_recent_proof():
     lease, proof = KeyLease(4.5), TableProof(1, Instant(6.0))
     assert decide(INDEX, "/look/x", DIGEST, lease, proof) == ACME
@@ -201,6 +217,13 @@
     assert gateway.sent[0].forwarded_headers == (("Accept", "x"),)
 
 
+def test_a_client_names_no_organisation_where_the_last_one_is_removed():
+    gateway = FakeGateway(OK, index=LAST_REMOVED)
+    forged = ("Snipecart-Organisation", "acme")
+    gateway.run("/open/x", None, [forged])
+    assert gateway.sent[0].forwarded_headers == (("Accept", "x"),)
+
+
 def test_headers_stay_as_they_are_without_organisations():
     gateway = FakeGateway(OK, index=NO_KEYS)
     own = ("Snipecart-Organisation", "mine")
@@ -225,9 +248,10 @@
     assert gateway.fail() == (503, "api_key_unproven", False)
 
 
-def test_a_key_removed_while_the_request_waited_is_not_sent():
+@pytest.mark.parametrize("index", [REMOVED, LAST_REMOVED])
+def test_a_key_removed_while_the_request_waited_is_not_sent(index):
     gateway = FakeGateway()
-    gateway.after_selection = gateway.replace_table
+    gateway.after_selection = lambda: gateway.replace_table(index)
     assert gateway.fail() == (401, "api_key_unknown", False)
     released = [item for item in gateway.posted if isinstance(item, RecordSend)]
     assert len(released) == 1, "the slot of the selected server was not freed"
--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -46,10 +46,20 @@
     assert SECRET.encode() not in dump_routing(routing)
 
 
-@pytest.mark.parametrize("more", [{}, {"tenants": []}, {"tenants": None}])
-def test_without_tenants_there_are_no_organisations(more):
-    routing = decode_manifest(json.dumps({**MANIFEST, **more}).encode()).ok
-    assert routing.organisations == ()
+def test_without_tenants_no_key_is_needed():
+    routing = decode_manifest(json.dumps(MANIFEST).encode()).ok
+    assert routing.organisations is None
+    assert b"organisations" not in dump_routing(routing)
+
+
+def test_an_empty_list_of_tenants_is_not_read_as_none():
+    # Taking away the last tenant would open all routes to everyone.
+    assert decode().ok.organisations == ()
+
+
+def test_a_list_of_tenants_that_is_null_is_refused():
+    failure = decode_manifest(json.dumps({**MANIFEST, "tenants": None}).encode()).error
+    assert [fault.path for fault in failure.faults] == ["$.tenants"]
 
 
 def test_a_route_may_allow_anonymous_requests():
--- a/tests/process/test_revocation.py
+++ b/tests/process/test_revocation.py
@@ -111,6 +111,18 @@
     assert send(fleet, "entry-2", KEPT) == 200
 
 
+def test_taking_away_the_last_organisation_closes_the_routes(fleet):
+    assert send(fleet, "entry-1", REMOVED) == 200
+    put_table(fleet, 2)
+    time.sleep(REVOKE_SECONDS)
+    for name in ("entry-1", "entry-2"):
+        assert send(fleet, name, REMOVED) == send(fleet, name) == 401
+        assert send(fleet, name, path="/open/x") == 200
+    addresses = [f"{fleet.host(name)}:{INNER + 2}" for name in fleet.processes]
+    page = CliRunner().invoke(operator.main, ["fleet", *addresses]).output
+    assert "organisations: 0, routing table proved current" in page
+
+
 def test_without_a_majority_keys_are_refused_until_it_is_back(fleet):
     # A majority that is out of reach may have acknowledged a newer table.
     stopped = ("control-2", "control-3")
--- a/tests/text/test_organisations.py
+++ b/tests/text/test_organisations.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 
 from snipecart.text.routing import check_routing
 from snipecart.text.routing import digest_key
+from snipecart.text.routing import dump_routing
+from snipecart.text.routing import list_limits
+from snipecart.text.routing import parse_routing
 from tests.gateway.world import make_route
+from tests.gateway.world import make_routing
 
 A, B = digest_key(b"alpha-key"), digest_key(b"beta-key")
 
@@ -66,3 +72,25 @@
 def test_a_name_that_no_header_can_carry_is_refused(name):
     # A line break in it would add a header to each request.
     assert fault({"name": name})[0] == "$.organisations[0].name"
+
+
+def dump_without_last_organisation():
+    routing = make_routing(make_route())
+    return dump_routing(routing.model_copy(update={"organisations": ()}))
+
+
+def test_a_stored_table_tells_an_empty_list_from_none():
+    # Each process would open the routes of a table whose last organisation is removed.
+    empty, none = (
+        dump_without_last_organisation(),
+        dump_routing(make_routing(make_route())),
+    )
+    assert parse_routing(empty).ok.organisations == ()
+    assert parse_routing(none).ok.organisations is None
+    assert not any(rate for _, rate, _ in (*list_limits(empty), *list_limits(none)))
+
+
+def test_earlier_versions_find_an_organisation_in_a_stored_empty_list():
+    # They need keys only where the list has an item, and would admit everyone.
+    stored = json.loads(dump_without_last_organisation())["organisations"]
+    assert len(stored) == 1 and not stored[0]["key_digests"]
