Tell an empty coverage of the placement plan from an unchanged one

A gateway or control process that had the plan went on placing objects by it, while one that started later did not, so that two gateways could choose different servers for an object.

Change: an update says whether it has the coverage. A leader of an earlier version sends only coverages that are not empty; these are applied as before.

Shown by two tests on the encoded updates; the first failed before the change (the follower kept the coverage), the second guards the earlier version's form.

--- a/src/snipecart/control/placement/plan.py
+++ b/src/snipecart/control/placement/plan.py
@@ -6,7 +6,6 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
-from ...messages.placement import NO_COVERAGE
 from ...messages.placement import REVISION_BITS
 from ...messages.placement import Coverage
 from ...messages.placement import PlacedObject
@@ -38,7 +37,7 @@
     placed: dict[ObjectId, PlacedObject] = field(default_factory=dict)
     changed_at: dict[ObjectId, int] = field(default_factory=dict)
     """Plan number of each object's last change, also of removed ones."""
-    coverage: Coverage = NO_COVERAGE
+    coverage: Coverage = Coverage()
     coverage_changed_at: int = 0
     _adopted: int = 0
     """Number of the plan that this process took over; 0 if it took over none."""
@@ -74,7 +73,7 @@
             return pack_update(self.number, None, self.placed.values(), self.coverage)
         changed = [key for key, at in self.changed_at.items() if at > number]
         is_newer = self.coverage_changed_at > number
-        coverage = self.coverage if is_newer else NO_COVERAGE
+        coverage = self.coverage if is_newer else None
         items = (self.placed.get(key, PlacedObject(*key, (), ())) for key in changed)
         return pack_update(self.number, number, items, coverage)
 
@@ -89,9 +88,8 @@
             self.placed.clear()
             self.changed_at.clear()
             self._oldest = update.plan
-        if update.covered:
-            self.coverage = Coverage(update.covered, update.regions)
-            self.coverage_changed_at = update.plan
+        if update.coverage is not None:
+            self.coverage, self.coverage_changed_at = update.coverage, update.plan
         self._record(unpack_update(update))
         return True
 
--- a/src/snipecart/gateway/balancing/placement.py
+++ b/src/snipecart/gateway/balancing/placement.py
@@ -27,6 +27,7 @@
     from ...core.ids import RequestId
     from ...core.ids import RouteName
     from ...core.ids import ServiceName
+    from ...messages.placement import Coverage
     from ...messages.placement import PlacedObject
     from ...messages.placement import PlacementUpdate
 
@@ -86,14 +87,17 @@
                 self.placed[(item.service, item.object)] = item
             else:
                 self.placed.pop((item.service, item.object), None)
-        if update.covered:
-            self.covered, self.regions = frozenset(update.covered), {}
-            for part in update.regions:
-                by_region = self.regions.setdefault(part.service, {})
-                by_region[part.region] = part.percent / 100
+        if update.coverage is not None:
+            self._replace_coverage(update.coverage)
         self.number = update.plan
         return True
 
+    def _replace_coverage(self, coverage: Coverage) -> None:
+        self.covered, self.regions = frozenset(coverage.services), {}
+        for part in coverage.regions:
+            by_region = self.regions.setdefault(part.service, {})
+            by_region[part.region] = part.percent / 100
+
     def confirm(self, now: Instant) -> None:
         """Keep the plan in use, although perhaps no leader answers at present.
 
--- a/src/snipecart/messages/placement.py
+++ b/src/snipecart/messages/placement.py
@@ -87,12 +87,24 @@
     shares: tuple[int, ...] = ()
     """Percentages of the object's requests."""
     regions: tuple[RegionDemand, ...] = ()
-    """Demand of all regions; valid with ``covered``."""
+    """Demand of all regions; sent with ``covered``."""
     wanted: bool = False
     """Whether the leader has no plan, and asks for the one that the gateway uses."""
     covered: tuple[ServiceName, ...] = ()
-    """Services that the plan covers; empty if the earlier ones and their ``regions``
-    stand."""
+    """Services that the plan covers."""
+    coverage_sent: bool = False
+    """Whether the update has ``covered`` and ``regions``, empty or not."""
+
+    @property
+    def coverage(self) -> Coverage | None:
+        """Return the coverage; None if the earlier one stands.
+
+        A leader of an earlier version sends a coverage that isn't empty without
+        ``coverage_sent``.
+        """
+        if self.coverage_sent or self.covered:
+            return Coverage(self.covered, self.regions)
+        return None
 
 
 @dataclass(frozen=True)
@@ -103,9 +115,6 @@
     regions: tuple[RegionDemand, ...] = ()
 
 
-NO_COVERAGE = Coverage()
-
-
 @dataclass(frozen=True)
 class PlacedObject:
     """Assign an object to backend servers, each with a percentage of its requests."""
@@ -122,9 +131,12 @@
     plan: int,
     since: int | None,
     placed: Iterable[PlacedObject],
-    coverage: Coverage = NO_COVERAGE,
+    coverage: Coverage | None = None,
 ) -> PlacementUpdate:
-    """Return the update with these objects; without ``since`` it is complete."""
+    """Return the update with these objects; without ``since`` it is complete.
+
+    Without ``coverage``, the earlier one stands.
+    """
     items = list(placed)
     services = sorted({item.service for item in items})
     servers = sorted({name for item in items for name in item.servers})
@@ -141,8 +153,9 @@
         tuple(len(item.servers) for item in items),
         tuple(server_at[name] for item in items for name in item.servers),
         tuple(share for item in items for share in item.shares),
-        coverage.regions,
-        covered=coverage.services,
+        coverage.regions if coverage is not None else (),
+        covered=coverage.services if coverage is not None else (),
+        coverage_sent=coverage is not None,
     )
 
 
--- a/src/snipecart/wire/schema.capnp
+++ b/src/snipecart/wire/schema.capnp
@@ -145,7 +145,7 @@
   servers @4 :List(Text); serviceOf @5 :List(UInt16); objects @6 :List(UInt64);
   listed @7 :List(UInt8); owners @8 :List(UInt16); shares @9 :List(UInt8);
   regions @10 :List(RegionDemand); wanted @11 :Bool;
-  covered @12 :List(Text);
+  covered @12 :List(Text); coverageSent @13 :Bool;
 }
 struct GatewayAlive { gateway @0 :Text; sentAt @1 :Float64; requestsPerS @2 :UInt32; }
 struct AliveAnswer {
--- a/tests/control/test_placement.py
+++ b/tests/control/test_placement.py
@@ -20,10 +20,14 @@
 from snipecart.control.placement.state import PlacementState
 from snipecart.gateway.balancing.placement import Placement
 from snipecart.messages.placement import MAX_PLANNED_OBJECTS
+from snipecart.messages.placement import Coverage
 from snipecart.messages.placement import DemandReport
 from snipecart.messages.placement import PlacedObject
+from snipecart.messages.placement import RegionDemand
 from snipecart.messages.placement import ServiceDemand
 from snipecart.messages.placement import pack_update
+from snipecart.wire.codec import decode
+from snipecart.wire.codec import encode
 
 REGIONS = ("north", "south", "west")
 STEP = 0.5
@@ -214,6 +218,43 @@
     assert plan.update_since(3 << 32) is None
 
 
+def receive(update, *receivers):
+    """Apply an update to gateways or control processes, as it arrives there."""
+    received = decode(encode(update)).ok.message
+    for receiver in receivers:
+        if isinstance(receiver, Placement):
+            receiver.apply(received, 0.0)
+        else:
+            receiver.apply(received)
+
+
+def test_receivers_learn_that_no_service_is_covered_any_more():
+    """Guards against processes that place objects by rules that others have dropped."""
+    plan, follower, gateway = NumberedPlan(), NumberedPlan(), Placement()
+    plan.lead(1)
+    plan.change([place(1, "i-1")])
+    plan.set_coverage(Coverage(("racks",), (RegionDemand("racks", "north", 100),)))
+    receive(plan.update_since(0), follower, gateway)
+    assert gateway.covered == {"racks"}
+    number = plan.number
+    plan.change([place(1, "i-2")])
+    receive(plan.update_since(number), follower, gateway)
+    assert gateway.covered == {"racks"} and gateway.regions
+    number = plan.number
+    plan.set_coverage(Coverage())
+    receive(plan.update_since(number), follower, gateway)
+    assert follower.coverage == Coverage()
+    assert not gateway.covered and not gateway.regions
+
+
+def test_the_coverage_of_a_leader_of_an_earlier_version_is_applied():
+    """Guards against gateways that ignore what such a leader covers."""
+    update = pack_update(1, None, [place(1, "i-1")], Coverage(("racks",)))
+    gateway = Placement()
+    receive(replace(update, coverage_sent=False), gateway)
+    assert gateway.covered == {"racks"}
+
+
 def test_an_update_whose_columns_do_not_match_is_ignored():
     """Guards against a damaged update that ends a task."""
     update = replace(pack_update(5, None, [place(1, "i-1")]), owners=(7,))
