Treat a limit beyond any load as none, so that it ends no leader

Cause: the leader makes an integer of a product that exceeds the range of a float, in the task that owns the log; the log brings the table back to each next leader.

Change: a rate or burst of a million requests or more counts as no limit, at the leader and at gateways. All numbers derived from a limit are bounded before they become integers.

This works as no number left of a limit exceeds a million requests and the platform's allowance on it.

--- a/src/snipecart/control/leases/limits.py
+++ b/src/snipecart/control/leases/limits.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 from ...messages.quota import MILLI
+from ...text.routing import MAX_LIMIT
+from ...text.routing import is_limited
 
 if TYPE_CHECKING:
     from ...core.ids import OrganisationName
@@ -30,8 +32,8 @@
 that are on their way to a gateway.
 """
 
-UNLIMITED = 1_000_000_000
-"""Rate and store of organisations without a limit, or with a higher one.
+UNLIMITED = MAX_LIMIT * MILLI
+"""Rate and store of organisations without a limit that binds, in thousandths.
 
 A gateway asks for those without one only while its routing table is older than the
 leader's. Messages have 32 bits for each rate.
@@ -63,15 +65,20 @@
     @classmethod
     def of(
         cls, name: OrganisationName, rate_per_s: float, burst: float, rule: QuotaRule
-    ) -> Limit:
-        """Return the limit of an organisation under a platform's rule."""
+    ) -> Limit | None:
+        """Return the limit of an organisation under a platform's rule.
+
+        Return None if no limit binds.
+        """
+        if not is_limited(rate_per_s, burst):
+            return None
         slack = rule.slack + rule.overage * (rate_per_s * rule.window_s + burst)
         return cls(
             name,
-            int(rate_per_s * MILLI),
-            int(rate_per_s * LEASED_FRACTION * MILLI),
-            min(UNLIMITED, int((max(burst, 1.0) + KEPT_SLACK * slack) * MILLI)),
-            int(OPENING_SLACK * slack * MILLI),
+            _to_milli(rate_per_s),
+            _to_milli(rate_per_s * LEASED_FRACTION),
+            _to_milli(max(burst, 1.0) + KEPT_SLACK * slack),
+            _to_milli(OPENING_SLACK * slack),
         )
 
     @property
@@ -83,3 +90,8 @@
     def store(self) -> str:
         """Return the ledger's resource of the tokens that gateways keep."""
         return f"{self.name}\ntokens"
+
+
+def _to_milli(amount: float) -> int:
+    """Return requests or tokens in thousandths, UNLIMITED at most."""
+    return int(min(amount * MILLI, UNLIMITED))
--- a/src/snipecart/control/leases/quotas.py
+++ b/src/snipecart/control/leases/quotas.py
@@ -95,8 +95,6 @@
         self.version = version
         self.limits = {
             organisation_id(name): Limit.of(name, rate, burst, self.rule)
-            if 0 < rate * MILLI < UNLIMITED
-            else None
             for name, rate, burst in limits
         }
         names = {limit.name for limit in self.limits.values() if limit is not None}
--- a/src/snipecart/gateway/balancing/routes.py
+++ b/src/snipecart/gateway/balancing/routes.py
@@ -30,7 +30,7 @@
             target.service for route in routing.routes for target in route.targets
         )
         organisations = routing.listed_organisations
-        self.limits_organisations = any(item.rate_per_s for item in organisations)
+        self.limits_organisations = any(item.is_limited for item in organisations)
         self._ranks = sorted(
             {route.rank for route in routing.routes}
             | {item.rank for item in organisations if item.rank is not None}
--- a/src/snipecart/gateway/request.py
+++ b/src/snipecart/gateway/request.py
@@ -153,9 +153,9 @@
 
     @property
     def limited_organisation(self) -> OrganisationName | None:
-        """Return the organisation whose rate limit applies; None without a limit."""
+        """Return the organisation whose limit binds; None without a limit."""
         organisation = self.organisation
-        if organisation is None or not organisation.rate_per_s:
+        if organisation is None or not organisation.is_limited:
             return None
         return organisation.name
 
--- a/src/snipecart/text/routing.py
+++ b/src/snipecart/text/routing.py
@@ -37,6 +37,9 @@
 MAX_TARGET_OVER_TIMEOUT_MS = 60_000
 """A latency target that exceeds its route's timeout by this much is a fault."""
 
+MAX_LIMIT = 1_000_000
+"""Requests, per second or at once, from which a limit allows all that can come."""
+
 HEADER_VALUE_PATTERN = r"^[!-~]([ -~]*[!-~])?$"
 """Names that a header can carry as they are: printable ASCII, no outer spaces."""
 
@@ -48,6 +51,11 @@
     return KeyDigest(hashlib.sha256(key).hexdigest())
 
 
+def is_limited(rate_per_s: float, burst: float) -> bool:
+    """Return whether a rate and a burst bind under any load."""
+    return 0 < rate_per_s < MAX_LIMIT and burst < MAX_LIMIT
+
+
 class Target(Part):
     """Represent a service that gets a part of a route's requests.
 
@@ -99,6 +107,11 @@
     burst: Annotated[float, Field(ge=0, allow_inf_nan=False, strict=False)] = 0.0
     """Requests that it may send at once beyond the rate."""
 
+    @property
+    def is_limited(self) -> bool:
+        """Return whether its rate and burst bind under any load."""
+        return is_limited(self.rate_per_s, self.burst)
+
     @field_validator("key_digests")
     @classmethod
     def _remove_repeated(cls, digests: tuple[KeyDigest, ...]) -> tuple[KeyDigest, ...]:
--- a/tests/control/test_quota_messages.py
+++ b/tests/control/test_quota_messages.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import sys
 from dataclasses import replace
 from random import Random
 
+import pytest
+
 from snipecart.control.leader import LeaderState
+from snipecart.control.leases.limits import UNLIMITED
 from snipecart.control.machine.state import MachineState
 from snipecart.control.node import NodeOutputs
 from snipecart.control.node import NodeTask
@@ -75,18 +79,32 @@
     assert state.admit("acme", Instant(62.0)) is Admission.CUT_OFF
 
 
-def test_only_a_leader_with_a_lease_grants(monkeypatch):
-    """Guards against two processes that grant the same limit."""
+def make_node(burst):
+    """Return the node of a process whose table limits an organisation."""
     routing = make_routing(make_route())
-    acme = Organisation(name="acme", rate_per_s=10.0, burst=20.0)
+    acme = Organisation(name="acme", rate_per_s=10.0, burst=burst)
     table = dump_routing(routing.model_copy(update={"organisations": (acme,)}))
-    node = NodeTask(
+    return NodeTask(
         RaftState("a/1", Random(1), last_leader_contact=Instant(0.0)),
         replace(MachineState(), routing_version=1, routing=table),
         Node("a/1", "a", "h", 1),
         NodeOutputs(print, print, print),
     )
-    answers = []
+
+
+@pytest.mark.parametrize("burst", [1e306, sys.float_info.max])
+def test_a_leader_grants_without_limit_where_a_burst_exceeds_its_arithmetic(burst):
+    """Guards against an accepted table that ends one leader after the other."""
+    node, answers = make_node(burst), []
+    node.leader_state = LeaderState(1, Instant(1.0))
+    node.refusal = lambda now: None
+    node._handle_message(IncomingMessage(REQUEST, answers.append), Instant(9.0))
+    assert answers[-1].leads and answers[-1].rates == (UNLIMITED,)
+
+
+def test_only_a_leader_with_a_lease_grants(monkeypatch):
+    """Guards against two processes that grant the same limit."""
+    node, answers = make_node(20.0), []
     node._handle_message(IncomingMessage(REQUEST, answers.append), Instant(1.0))
     node.leader_state = LeaderState(1, Instant(1.0))
     node._handle_message(IncomingMessage(REQUEST, answers.append), Instant(9.0))
--- a/tests/control/test_quotas.py
+++ b/tests/control/test_quotas.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import sys
+
 import pytest
 
 from snipecart.control.leases.accounts import Account
@@ -121,6 +123,31 @@
     assert fleet.excess("a") <= 0
 
 
+@pytest.mark.parametrize(
+    "limit",
+    [(10.0, sys.float_info.max), (10.0, 1e300), (sys.float_info.max, 0.0), (1.0, 1e6)],
+)
+def test_a_limit_beyond_any_load_refuses_nothing_and_harms_nobody(limit):
+    """Guards against a limit that ends each process that leads."""
+    fleet = make_fleet(7, huge=limit, b=(20.0, 0.0))
+    fleet.offer("huge", 300.0, 8)
+    fleet.offer("b", 40.0, 8)
+    fleet.run(9)
+    assert fleet.served("huge") == 1.0
+    assert fleet.excess("b") <= 0
+    assert fleet.used("b", fleet.now - 5, fleet.now - 1) >= 0.95
+
+
+@pytest.mark.parametrize("rate", [5e-324, 1e-4])
+def test_a_limit_below_any_load_leaves_the_burst(rate):
+    """Guards against a division by a rate that rounds to nothing."""
+    fleet = make_fleet(7, tiny=(rate, 5.0))
+    fleet.offer("tiny", 40.0, 8)
+    fleet.run(9)
+    assert fleet.excess("tiny") <= 0
+    assert fleet.admitted["tiny"]
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_limits_bind_while_messages_are_lost_or_late(seed):
     """Guards against grants that count twice or are freed too early."""
--- a/tests/gateway/test_limit.py
+++ b/tests/gateway/test_limit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 import threading
 from dataclasses import replace
 from random import Random
@@ -121,6 +122,13 @@
     assert failed.retry_after > 0
 
 
+@pytest.mark.parametrize("field", ["rate_per_s", "burst"])
+def test_a_limit_beyond_any_load_needs_no_leader(field):
+    organisation = ORGANISATION.model_copy(update={field: sys.float_info.max})
+    routed = replace(Gateway(ROUTING).request(), organisation=organisation)
+    assert routed.limited_organisation is None
+
+
 def test_a_request_waits_for_the_leaders_answer_and_one_report_is_sent():
     fleet = Fleet(0, (ANSWERED,) * 3)
     fleet.holding.store = 0.0
