Compare ranks by their order, whatever their distance

A route or an organisation with a rank over some 1,024 digits of two, which a routing table may have, ended each gateway as soon as one of its requests had to queue: the bound of its wait is a power of the difference of two ranks, and Python can't turn such an integer into a float. Ranks that are far apart without it left the less urgent route no queue at all.

Change: the power counts the ranks in use between the two, as the queue of the network link does already. Where the ranks in use follow each other without a gap, nothing changes.

--- a/src/snipecart/gateway/balancing/admission.py
+++ b/src/snipecart/gateway/balancing/admission.py
@@ -14,10 +14,10 @@
 
 if TYPE_CHECKING:
     from ...text.routing import Route
-    from ...text.routing import Routing
     from ..request import RoutedRequest
+    from .routes import RouteIndex
 
-WaitRule = Callable[["Routing", "RoutedRequest", float], float]
+WaitRule = Callable[["RouteIndex", "RoutedRequest", float], float]
 """Return the longest allowed wait in ms, from the usual response time in ms."""
 
 WAIT_RULES: Registry[str, WaitRule] = Registry("admission rules")
@@ -29,7 +29,7 @@
 """Fraction of the latency target that the wait and the work may take together."""
 
 RANK_WAIT_FACTOR = 0.6
-"""Ratio of the longest wait of a rank to that of the next more urgent rank."""
+"""Ratio of the longest wait of a rank to that of the next more urgent rank in use."""
 
 
 def route_wait(route: Route, usual_ms: float) -> float:
@@ -39,7 +39,7 @@
 
 
 @WAIT_RULES.register("target")
-def wait_by_target(routing: Routing, routed: RoutedRequest, usual_ms: float) -> float:
+def wait_by_target(index: RouteIndex, routed: RoutedRequest, usual_ms: float) -> float:
     """Allow the wait that the target leaves, but less than more urgent routes get.
 
     Only routes that share a service with this one are considered.
@@ -47,16 +47,18 @@
     route, rank = routed.route, routed.rank
     wait = route_wait(route, usual_ms)
     services = {target.service for target in route.targets}
-    for other in routing.routes:
+    more_urgent = index.count_more_urgent(rank)
+    for other in index.routing.routes:
         shared = any(target.service in services for target in other.targets)
         if shared and other.rank < rank:
-            factor = RANK_WAIT_FACTOR ** (rank - other.rank)
+            ranks_between = more_urgent - index.count_more_urgent(other.rank)
+            factor = RANK_WAIT_FACTOR**ranks_between
             bound = route_wait(other, usual_ms) * factor
             wait = min(wait, bound)
     return wait
 
 
 @WAIT_RULES.register("timeout")
-def wait_by_timeout(routing: Routing, routed: RoutedRequest, usual_ms: float) -> float:
+def wait_by_timeout(index: RouteIndex, routed: RoutedRequest, usual_ms: float) -> float:
     """Allow any wait that the route's timeout leaves, as a baseline."""
     return max(0.0, routed.route.timeout_ms - usual_ms)
--- a/src/snipecart/gateway/balancing/selection.py
+++ b/src/snipecart/gateway/balancing/selection.py
@@ -296,7 +296,7 @@
     route = routed.route
     usual = _usual_time(state, routed)
     waits = {item.instance.instance: item.expected_wait(usual, now) for item in servers}
-    allowed = WAIT_RULES.get(state.wait_rule)(state.index.routing, routed, usual * 1000)
+    allowed = WAIT_RULES.get(state.wait_rule)(state.index, routed, usual * 1000)
     p90 = state.p90_times.get(route.name, usual)
     limit = min(allowed / 1000, routed.deadline - now - p90)
     ranked = sorted(servers, key=lambda item: waits[item.instance.instance])
--- a/src/snipecart/gateway/balancing/shedding.py
+++ b/src/snipecart/gateway/balancing/shedding.py
@@ -154,7 +154,7 @@
     route = routed.route
     usual = _work_time(state, route)
     rule = WAIT_RULES.get(state.wait_rule)
-    allowed = rule(state.index.routing, routed, usual * 1000) / 1000
+    allowed = rule(state.index, routed, usual * 1000) / 1000
     busy = _add_own_report(
         server, load.busy_fraction(allowed / usual, now), allowed / usual, now
     )
--- a/tests/gateway/test_authentication.py
+++ b/tests/gateway/test_authentication.py
@@ -307,9 +307,9 @@
     gateway = FakeGateway(OK, OK, index=INDEX)
     gateway.run()
     routed = gateway.sent[0]
-    urgent = wait_by_target(INDEX.routing, routed, 100.0)
+    urgent = wait_by_target(INDEX, routed, 100.0)
     plain = SimpleNamespace(route=routed.route, rank=routed.route.rank)
-    assert urgent > wait_by_target(INDEX.routing, plain, 100.0)
+    assert urgent > wait_by_target(INDEX, plain, 100.0)
 
 
 def test_regions_of_route_and_organisation_both_bind():
