Split traffic by weights whose sum exceeds the range of a float

Change: weights are reduced by a power of two before they are added if their sum is within 64 bits of the largest float. Others are used as they are, so their split stays the same.

--- a/src/snipecart/gateway/balancing/routes.py
+++ b/src/snipecart/gateway/balancing/routes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import sys
 from bisect import bisect_left
 from dataclasses import dataclass
 from dataclasses import field
@@ -17,6 +19,13 @@
     from ...text.routing import Routing
 
 
+LARGE_WEIGHT_BITS = 64
+"""Bits by which weights are reduced that are too large to be added."""
+
+LARGE_WEIGHT = math.ldexp(sys.float_info.max, -LARGE_WEIGHT_BITS)
+"""Sum of weights from which they are reduced."""
+
+
 class RouteIndex:
     """Look up routes by host and longest path prefix."""
 
@@ -83,17 +92,25 @@
     def next(self, route: Route) -> ServiceName:
         """Return the service of the next request."""
         targets = route.targets
-        total = sum(target.weight for target in targets)
+        weights = _summable([target.weight for target in targets])
+        total = sum(weights)
         if len(targets) == 1 or total <= 0:
             return targets[0].service
-        for target in targets:
+        for target, weight in zip(targets, weights, strict=True):
             credit = self.current.get(target.service, 0.0)
-            self.current[target.service] = credit + target.weight
+            self.current[target.service] = credit + weight
         due = max(targets, key=lambda target: self.current[target.service]).service
         self.current[due] -= total
         return due
 
 
+def _summable(weights: list[float]) -> list[float]:
+    """Return weights of the same ratio whose sum is far below the largest float."""
+    if sum(weights) < LARGE_WEIGHT:
+        return weights
+    return [math.ldexp(weight, -LARGE_WEIGHT_BITS) for weight in weights]
+
+
 class TrafficSplits:
     """Store one traffic split for each route of a routing table."""
 
--- a/tests/gateway/test_extreme_values.py
+++ b/tests/gateway/test_extreme_values.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import sys
+from collections import Counter
+
 import pytest
 
+from snipecart.gateway.balancing.routes import TrafficSplit
 from tests.gateway.world import Gateway
 from tests.gateway.world import make_instance
 from tests.gateway.world import make_route
 from tests.gateway.world import make_routing
 
+LARGEST = sys.float_info.max
+
 
 def count_queued(rank):
     """Return how many requests queue at a server, beside a route of rank 0."""
@@ -25,3 +31,24 @@
 def test_a_rank_orders_routes_however_far_it_is_from_the_others(rank):
     """Guards against a gateway that ends with the first request that has to wait."""
     assert count_queued(rank) == count_queued(1) < count_queued(0)
+
+
+@pytest.mark.parametrize(
+    ("weights", "expected"),
+    [
+        ((LARGEST, LARGEST), (50, 50)),
+        ((1e308, 1e308, 1e308, 1e308), (25, 25, 25, 25)),
+        ((LARGEST, LARGEST / 9), (90, 10)),
+        ((5e-324, 5e-324), (50, 50)),
+        ((LARGEST, 5e-324), (100,)),
+    ],
+)
+def test_weights_near_the_ends_of_floats_divide_by_their_ratio(weights, expected):
+    """Guards against a sum of weights that is infinite, which served one service."""
+    targets = [
+        {"service": f"s{at}", "weight": weight} for at, weight in enumerate(weights)
+    ]
+    route = make_routing(make_route(targets=targets)).routes[0]
+    split = TrafficSplit()
+    counts = Counter(split.next(route) for _ in range(100))
+    assert tuple(counts[name] for name in sorted(counts)) == expected
