Bound the number of ejections that double a server's ejection time

After 1,024 of them, some two hours at 6 s each, the product exceeds the range of a float and ends the gateway.

Change: the number stays at ten, after which the time has long reached its maximum.

Test: failed before the change with OverflowError after 1,024 failures.

--- a/src/snipecart/gateway/balancing/server.py
+++ b/src/snipecart/gateway/balancing/server.py
@@ -34,6 +34,9 @@
 BASE_EJECTION_TIME = 0.8
 """Seconds of a first ejection; doubles with each ejection until a send is answered."""
 
+MAX_DOUBLINGS = 10
+"""Ejections in a row that double the time; it has reached its maximum before."""
+
 MAX_EJECTION_TIME = 6.0
 """Seconds."""
 
@@ -335,5 +338,5 @@
         if end is not SendOutcome.NOT_SENT and self.failures < FAILURES_TO_EJECT:
             return
         ejection_time = min(MAX_EJECTION_TIME, BASE_EJECTION_TIME * 2**self.ejections)
-        self.ejections += 1
+        self.ejections = min(self.ejections + 1, MAX_DOUBLINGS)
         self.ejected_until = Instant(now + ejection_time)
--- a/tests/gateway/test_extreme_values.py
+++ b/tests/gateway/test_extreme_values.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from snipecart.core.states import SendOutcome
 from snipecart.gateway.balancing.routes import TrafficSplit
 from tests.gateway.world import Gateway
 from tests.gateway.world import make_instance
@@ -52,3 +53,14 @@
     split = TrafficSplit()
     counts = Counter(split.next(route) for _ in range(100))
     assert tuple(counts[name] for name in sorted(counts)) == expected
+
+
+def test_a_server_may_fail_any_number_of_times():
+    """Guards against a gateway that ends once a server has failed for hours."""
+    gateway = Gateway(make_routing(make_route())).add_instances(make_instance(1))
+    server = next(iter(gateway.state.servers.values()))
+    for _ in range(1100):
+        gateway.now += 10.0
+        assert not server.is_ejected(gateway.now)
+        server.record_send(SendOutcome.NOT_SENT, 1.0, False, gateway.now)
+        assert server.is_ejected(gateway.now)
