Take numbers of any size in a routing document by their meaning

NaN and Infinity, which JSON doesn't have, were accepted in fields that nobody reads. Text with half a character passed the checks and failed when the table was stored: the operator got 500, which no retry mends. Two documents of one version, nested more deeply than the log's task can follow, would have ended each replica that applies the second one.

A duration under a millisecond is a millisecond. Constants that JSON doesn't have and text that is no Unicode are refused when the document is read. Documents are compared by the same reader.

--- a/src/snipecart/control/machine/routing.py
+++ b/src/snipecart/control/machine/routing.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from ...core.states import RoutingVerdict
@@ -11,6 +10,7 @@
 from ...messages.commands import PutRouting
 from ...messages.commands import RoutingAnswer
 from ...messages.commands import SetEvacuation
+from ...text.parse import load_json
 from .state import APPLIERS
 from .state import MachineState
 
@@ -42,10 +42,8 @@
 
 
 def _parse_or_raw(document: bytes) -> Any:
-    try:
-        return json.loads(document)
-    except ValueError:
-        return document
+    parsed = load_json(document)
+    return parsed.ok if parsed.is_ok() else document
 
 
 @APPLIERS.register(SetEvacuation)
--- a/src/snipecart/platform/heartbeats.py
+++ b/src/snipecart/platform/heartbeats.py
@@ -41,7 +41,10 @@
 """Largest number of slots that an instance can have."""
 
 MAX_COLD_MS = 86_400_000
-"""Longest cold period in milliseconds."""
+"""Cold period in milliseconds for which all longer ones are taken.
+
+Later heartbeats say how much is left.
+"""
 
 MAX_NAME_BYTES = 255
 """Longest id of an instance, or name of a service."""
@@ -71,8 +74,6 @@
     if zone not in regions or state not in STATES:
         raise ValueMalformed(f"zone {zone!r}, state {state!r}")
     cold_ms = parse_duration_ms(status.get("cold_remaining", "0ms"))
-    if cold_ms > MAX_COLD_MS:
-        raise ValueMalformed(f"cold_remaining: {cold_ms} ms")
     return Instance(
         InstanceId(_check_name(name)),
         _read_address(fields),
@@ -83,7 +84,7 @@
         EndpointState.LEAVING if state == DRAINING else EndpointState.SERVING,
         _read_count(status, "sequence"),
         UnixMillis(_read_count(fields, "born") if "born" in fields else 0),
-        Millis(cold_ms),
+        Millis(min(cold_ms, MAX_COLD_MS)),
     )
 
 
--- a/src/snipecart/platform/values.py
+++ b/src/snipecart/platform/values.py
@@ -9,7 +9,7 @@
 VERSION = re.compile(r"[0-9a-fA-F]{8}")
 
 MAX_DURATION_MS = 10.0**12
-"""Longest duration in milliseconds, some thirty years."""
+"""Duration in milliseconds, some thirty years, for which all longer ones are taken."""
 
 MS_PER_UNIT = {"ms": 1.0, "s": 1000.0}
 
@@ -19,14 +19,17 @@
 
 
 def parse_duration_ms(value: Any) -> int:
-    """Parse a duration such as ``1500ms`` or ``2.5s`` into milliseconds."""
+    """Parse a duration such as ``1500ms`` or ``2.5s`` into milliseconds.
+
+    Only a duration of zero becomes zero.
+    """
     match = DURATION.fullmatch(value) if isinstance(value, str) else None
     if match is None:
         raise ValueMalformed(f"malformed duration: {value!r}")
     milliseconds = float(match[1]) * MS_PER_UNIT[match[2]]
-    if milliseconds > MAX_DURATION_MS:
-        raise ValueMalformed(f"duration too long: {value[:40]!r}")
-    return round(milliseconds)
+    if 0 < milliseconds < 1:
+        return 1
+    return round(min(milliseconds, MAX_DURATION_MS))
 
 
 def parse_version(value: Any) -> int:
--- a/src/snipecart/text/parse.py
+++ b/src/snipecart/text/parse.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -25,6 +26,15 @@
 MAX_TEXT_BYTES = 8 * 1024 * 1024
 """Maximum size of a configuration in bytes."""
 
+MAX_INTEGER_DIGITS = 400
+"""Digits up to which integers in JSON are exact; longer ones are read as the largest.
+
+Python does not convert integers of thousands of digits.
+"""
+
+SURROGATE_ESCAPE = re.compile(r"\\u[dD][89a-fA-F]")
+"""Escape of half a character; JSON may pair two of them or, wrongly, use one alone."""
+
 
 def format_json_path(parts: Sequence[str | int]) -> str:
     """Return a path into a JSON document in JSONPath notation."""
@@ -56,10 +66,40 @@
     return fields
 
 
+def _read_integer(digits: str) -> int:
+    """Return an integer, or the largest one with its sign if it has too many digits."""
+    if len(digits.lstrip("-")) <= MAX_INTEGER_DIGITS:
+        return int(digits)
+    largest = 10**MAX_INTEGER_DIGITS - 1
+    return -largest if digits.startswith("-") else largest
+
+
+def _reject_constant(name: str) -> float:
+    raise ValueError(f"{name} is not JSON")
+
+
+def _load(data: bytes) -> Any:
+    """Return a parsed document, or raise ValueError or RecursionError."""
+    text = data.decode(json.detect_encoding(data))
+    document = json.loads(
+        text,
+        object_pairs_hook=_reject_repeated_fields,
+        parse_int=_read_integer,
+        parse_constant=_reject_constant,
+    )
+    if SURROGATE_ESCAPE.search(text):
+        json.dumps(document, ensure_ascii=False).encode()
+    return document
+
+
 def load_json(data: bytes) -> Result[Any, Fault]:
-    """Parse JSON, rejecting repeated fields; a syntax fault has line and column."""
+    """Parse JSON; a syntax fault has line and column.
+
+    Reject repeated fields, numbers that JSON does not have, and text that no process
+    could encode.
+    """
     try:
-        return Ok(json.loads(data, object_pairs_hook=_reject_repeated_fields))
+        return Ok(_load(data))
     except json.JSONDecodeError as exc:
         where = f"line {exc.lineno}, column {exc.colno}"
         return Error(Fault("$", "json_invalid", f"{exc.msg} at {where}"))
--- a/src/snipecart/text/routing.py
+++ b/src/snipecart/text/routing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import sys
 from typing import TYPE_CHECKING
 from typing import Annotated
 from typing import Any
@@ -10,6 +11,7 @@
 from expression import Error
 from expression import Ok
 from expression import Result
+from pydantic import BeforeValidator
 from pydantic import Field
 from pydantic import ValidationError
 from pydantic import field_validator
@@ -51,6 +53,24 @@
     return KeyDigest(hashlib.sha256(key).hexdigest())
 
 
+def _to_float(value: object) -> object:
+    """Return the float nearest to a number, also to one beyond the largest float."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return value
+    largest = sys.float_info.max
+    if abs(value) > largest:
+        return largest if value > 0 else -largest
+    return float(value)
+
+
+Quantity = Annotated[
+    float,
+    BeforeValidator(_to_float),
+    Field(ge=0, allow_inf_nan=False, strict=False),
+]
+"""Number that isn't negative; one that exceeds all floats counts as the largest."""
+
+
 def is_limited(rate_per_s: float, burst: float) -> bool:
     """Return whether a rate and a burst bind under any load."""
     return 0 < rate_per_s < MAX_LIMIT and burst < MAX_LIMIT
@@ -63,7 +83,7 @@
     """
 
     service: ServiceName
-    weight: Annotated[float, Field(ge=0, allow_inf_nan=False, strict=False)]
+    weight: Quantity
 
 
 class Route(Part):
@@ -102,9 +122,9 @@
     """Urgency of its requests in place of their routes' rank; None for the latter."""
     regions: Annotated[tuple[RegionName, ...], Field(strict=False)] = ()
     """Regions that may serve its requests; empty for all regions."""
-    rate_per_s: Annotated[float, Field(ge=0, allow_inf_nan=False, strict=False)] = 0.0
+    rate_per_s: Quantity = 0.0
     """Requests per second that it may send through all gateways; 0 for no limit."""
-    burst: Annotated[float, Field(ge=0, allow_inf_nan=False, strict=False)] = 0.0
+    burst: Quantity = 0.0
     """Requests that it may send at once beyond the rate."""
 
     @property
@@ -134,7 +154,7 @@
     """Connections that a backend server accepts from all callers; 0 for no limit."""
     cold_ms: Annotated[int, Field(ge=0)]
     """Duration of a cold start."""
-    cold_per_s: Annotated[float, Field(ge=0, allow_inf_nan=False, strict=False)]
+    cold_per_s: Quantity
     """Requests per second that a cold backend server can run; 0 for no limit."""
 
 
