Bound the idle timeout by what a socket can wait

Same class: with an idle timeout of 2^32 ms and a little more, 49.7 days, a socket's wait for input or room ended after the little more, as the system takes 32 bits of milliseconds. Such connections would be cut while a body arrives or an answer is read.

Test: a connection waits 0.6 s with a timeout of 2^32 + 200 ms; before the change it ended after 0.2 s.

--- a/src/snipecart/gateway/server.py
+++ b/src/snipecart/gateway/server.py
@@ -70,6 +70,12 @@
 MIN_READ_RATE = 10_000
 """Bytes per second that a client must read of a long answer."""
 
+MIN_IDLE_SECONDS = 1.0
+"""Shortest time for which a client may be idle, whatever the routing table says."""
+
+MAX_IDLE_SECONDS = 86_400.0
+"""Longest such time. Sockets wait for 32 bits of milliseconds at most."""
+
 LEAVING_RETRY_AFTER_SECONDS = 0.1
 """``Retry-After`` of requests that arrive after the gateway stopped accepting."""
 
@@ -263,7 +269,8 @@
     server.max_request_header_size = limits.header_bytes
     server.max_request_body_size = limits.body_bytes
     server.head_timeout = limits.header_timeout_ms / 1000
-    server.timeout = max(1.0, limits.idle_timeout_ms / 1000)
+    idle_seconds = max(MIN_IDLE_SECONDS, limits.idle_timeout_ms / 1000)
+    server.timeout = min(idle_seconds, MAX_IDLE_SECONDS)
 
 
 @contextmanager
--- a/tests/gateway/test_extreme_values.py
+++ b/tests/gateway/test_extreme_values.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+import socket
 import sys
+import threading
 from collections import Counter
+from types import SimpleNamespace
 
 import pytest
 
 from snipecart.core.states import SendOutcome
+from snipecart.gateway.balancing.routes import RouteIndex
 from snipecart.gateway.balancing.routes import TrafficSplit
+from snipecart.gateway.balancing.task import View
+from snipecart.gateway.server import _apply_limits
 from tests.gateway.world import Gateway
 from tests.gateway.world import make_instance
 from tests.gateway.world import make_route
@@ -64,3 +70,17 @@
         assert not server.is_ejected(gateway.now)
         server.record_send(SendOutcome.NOT_SENT, 1.0, False, gateway.now)
         assert server.is_ejected(gateway.now)
+
+
+def test_a_client_may_be_idle_for_as_long_as_the_table_says():
+    """Guards against a wait whose milliseconds exceed 32 bits, and which then ends."""
+    table = make_routing(make_route())
+    limits = table.limits.model_copy(update={"idle_timeout_ms": 2**32 + 200})
+    view = View(RouteIndex(table.model_copy(update={"limits": limits})))
+    server = SimpleNamespace(limits=None)
+    _apply_limits(server, SimpleNamespace(balancer=SimpleNamespace(view=view)))
+    ours, peers = socket.socketpair()
+    with ours, peers:
+        ours.settimeout(server.timeout)
+        threading.Timer(0.6, peers.send, [b"x"]).start()
+        assert ours.recv(1) == b"x"
