Take a client's timeout of any length

Same class, from a client: a timeout of more than twelve digits, leading zeros included, was refused as malformed with 400, which no client retries; one of twelve digits moved the time after which a rejected client should retry up to eight years away.

Change: gateways and entry processes read any whole number, and take the longest timeout that a route or a kind of call may have for all longer ones, as no request waits longer.

Tests over sockets: 3 failed before the change (400 in place of 503 without a server); what is no whole number is still refused.

--- a/src/snipecart/core/numbers.py
+++ b/src/snipecart/core/numbers.py
@@ -22,3 +22,14 @@
 def parse_decimal(text: str) -> float | None:
     """Return a plain decimal number; None for anything else or for too many digits."""
     return float(text) if DECIMAL_PATTERN.fullmatch(text) else None
+
+
+def parse_capped_count(text: str, largest: int) -> int | None:
+    """Return a plain whole number of any length, at most ``largest``.
+
+    Return None for anything else.
+    """
+    if not (text.isascii() and text.isdecimal()):
+        return None
+    digits = text.lstrip("0") or "0"
+    return largest if len(digits) > MAX_DIGITS else min(int(digits), largest)
--- a/src/snipecart/entry/source.py
+++ b/src/snipecart/entry/source.py
@@ -17,6 +17,7 @@
 from ..core.ids import KindName
 from ..core.ids import RequestKey
 from ..core.ids import ServiceName
+from ..core.numbers import parse_capped_count
 from ..core.numbers import parse_count
 from ..core.states import Outcome
 from ..core.states import Rank
@@ -24,6 +25,7 @@
 from ..program.answers import HTTP_STATUS
 from ..program.answers import JSON_CONTENT_TYPE
 from ..program.answers import to_json
+from ..text.model import MAX_DEADLINE_MS
 from .call import AnsweredCall
 from .call import CallFailed
 from .call import CallRequest
@@ -80,7 +82,8 @@
             return Error(_refuse("request must be POST /call/<service>/<kind>"))
         timeout = environ.get("HTTP_SNIPECART_DEADLINE_MS", "0")
         length = environ.get("CONTENT_LENGTH") or "0"
-        timeout_ms, body_size = parse_count(timeout), parse_count(length)
+        timeout_ms = parse_capped_count(timeout, MAX_DEADLINE_MS)
+        body_size = parse_count(length)
         if timeout_ms is None or body_size is None:
             return Error(_refuse("Snipecart-Deadline-Ms or Content-Length is invalid"))
         size = min(body_size, self._max_body + 1)
--- a/src/snipecart/gateway/request_reader.py
+++ b/src/snipecart/gateway/request_reader.py
@@ -17,12 +17,14 @@
 from ..core.ids import Instant
 from ..core.ids import ObjectKey
 from ..core.ids import RequestId
+from ..core.numbers import parse_capped_count
 from ..core.numbers import parse_count
 from ..core.task import monotonic
 from ..program.body import BodyFraming
 from ..program.body import BodyStream
 from ..program.body import read_body
 from ..program.repeated_headers import is_repeated
+from ..text.routing import MAX_TIMEOUT_MS
 from ..upstream.headers import end_to_end
 from .authentication import AUTHORIZATION
 from .authentication import authenticate
@@ -65,7 +67,10 @@
         for name, value in raw.inheaders.items()
     )
     fields = {name.lower(): value for name, value in headers}
-    timeout_ms = parse_count(fields.get(ctx.names.deadline_ms.lower(), "0"))
+    # No route waits longer.
+    timeout_ms = parse_capped_count(
+        fields.get(ctx.names.deadline_ms.lower(), "0"), MAX_TIMEOUT_MS
+    )
     if timeout_ms is None:
         return Error(
             BadCall(f"{ctx.names.deadline_ms} is not a valid number of milliseconds")
--- a/src/snipecart/text/model.py
+++ b/src/snipecart/text/model.py
@@ -17,6 +17,9 @@
 
 NAME_PATTERN = r"^[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?$"
 
+MAX_DEADLINE_MS = 600_000
+"""Longest time that a kind of call may take."""
+
 Name = Annotated[str, Field(pattern=NAME_PATTERN)]
 
 
@@ -48,7 +51,7 @@
     name: Annotated[KindName, Field(pattern=NAME_PATTERN)]
     rank: Annotated[Rank, Field(strict=False)]
     idempotent: bool
-    deadline_ms: Annotated[int, Field(ge=1, le=600_000)]
+    deadline_ms: Annotated[int, Field(ge=1, le=MAX_DEADLINE_MS)]
     floor: Annotated[float, Field(ge=0.0, le=1.0, strict=False)] = 0.05
     """Fraction of the service's slots that is reserved for this kind under any load."""
     kb_per_call: Annotated[int, Field(ge=1, le=1024)] = 4
--- a/tests/gateway/test_key_requests.py
+++ b/tests/gateway/test_key_requests.py
@@ -158,3 +158,20 @@
     headers = dict(balancer.asked[0].forwarded_headers)
     assert headers["Authorization"] == "Basic b"
     assert not any("organisation" in item.extra["fields"] for item in lines.records)
+
+
+@pytest.mark.parametrize("digits", [b"9" * 13, b"9" * 5000, b"0" * 20 + b"900"])
+def test_a_client_may_state_a_timeout_of_any_length(digits):
+    # It was refused as malformed, or moved the client's next try years away.
+    with gateway(NO_KEYS) as balancer:
+        answer = exchange(b"Snipecart-Deadline-Ms: " + digits + b"\r\n")
+    assert answer.startswith(b"HTTP/1.1 503 ") and balancer.asked[0].remaining() <= 1.5
+    retry_after = answer.partition(b"Retry-After: ")[2].partition(b"\r")[0]
+    assert 0 < float(retry_after) < 600
+
+
+@pytest.mark.parametrize("value", [b"", b"-1", b"+5", b"1.5", b"1e3", b"\xb2", b"5 5"])
+def test_a_timeout_that_is_no_number_is_refused(value):
+    with gateway(NO_KEYS) as balancer:
+        answer = exchange(b"Snipecart-Deadline-Ms: " + value + b"\r\n")
+    assert answer.startswith(b"HTTP/1.1 400 ") and not balancer.asked
