Bound the age of a listed rate limit to its field in messages

Nothing renews the age of a limit that stays the same, so after 49.7 days the message could not be encoded, which ends the process that sends it.

Change: older limits are listed with the largest age. Test: failed before the change with an error of the encoder at an age of 60 days.

--- a/src/snipecart/control/discovery/rate_limits.py
+++ b/src/snipecart/control/discovery/rate_limits.py
@@ -22,6 +22,10 @@
 """Seconds for which a lifted limit is kept, to recognise earlier notices of it."""
 
 
+MAX_AGE_MS = 2**32 - 1
+"""Age that is listed for all older limits, as messages have 32 bits for it."""
+
+
 @dataclass(frozen=True)
 class NamedLimit:
     """Store what a backend server said last about its rate limit."""
@@ -98,5 +102,5 @@
 
 def _aged(item: NamedLimit, now: Instant) -> RateLimit:
     limit = item.limit
-    age = Millis(max(0, int((now - item.named_at) * 1000)))
+    age = Millis(min(MAX_AGE_MS, max(0, int((now - item.named_at) * 1000))))
     return RateLimit(limit.instance, limit.born, limit.per_s, age)
--- a/tests/control/test_rate_limit_table.py
+++ b/tests/control/test_rate_limit_table.py
@@ -7,7 +7,10 @@
 from snipecart.control.discovery.rate_limits import LIFTED_LIMIT_LIFETIME
 from snipecart.control.discovery.rate_limits import RateLimitTable
 from snipecart.control.discovery.table import InstanceTable
+from snipecart.messages.discovery import Gossip
 from snipecart.messages.discovery import RateLimit
+from snipecart.wire.codec import decode
+from snipecart.wire.codec import encode
 from tests.gateway.world import make_instance
 
 SERVER = make_instance(1)
@@ -80,3 +83,12 @@
     revision = table.revision
     table.record([limit(2.0)], 10.5)
     assert table.revision == revision
+
+
+def test_a_limit_that_stands_for_months_can_still_be_listed(table):
+    """Guards against a process that ends as the age exceeds its field."""
+    table.record([limit(2.0)], 10.0)
+    listed = table.in_force(10.0 + 60 * 86_400)
+    gossip = Gossip("c1", (), "run", (), listed)
+    assert decode(encode(gossip)).ok.message == gossip
+    assert listed[0].age > 49 * 86_400_000
