Refuse what fails in its handler, in place of ending the process over and over

Why one accepted value could end each process that leads: the leases that a leader grants beside the log are computed in the task that owns the log, any error there ends the process, and the log brings the value back to the next leader. The same held for a status page, for a message whose value exceeds its field (the connection's writer ended the process), for a command that the log can't store, and for the selection of a server at a gateway.

Change: such a request is refused with request_failed (event 1014), and the task goes on; only where the log and its state can't be concerned. A message that can't be encoded is dropped (event 1104), and a command is refused before it is appended to the log. All other errors still end the process, which must not go on with a wrong log.

--- a/src/snipecart/control/factory.py
+++ b/src/snipecart/control/factory.py
@@ -23,11 +23,12 @@
 from ..messages.commands import Node
 from ..messages.raft import JoinAnswer
 from ..wire.codec import Envelope
-from ..wire.codec import encode
+from ..wire.codec import is_encodable
 from ..wire.links import EncodedMessage
 from ..wire.links import IncomingMessage
 from ..wire.links import Link
 from ..wire.links import Listener
+from ..wire.links import encode_or_drop
 from .discovery.handlers import HANDLERS as DISCOVERY_HANDLERS
 from .discovery.task import DiscoveryTask
 from .disk.store import RecoveredState
@@ -176,9 +177,11 @@
             self._return_paths[vm](message)
 
     def _send_to_all(self, message: Any) -> None:
-        encoded = EncodedMessage(encode(message))
+        frame = encode_or_drop(Envelope(0, message))
+        if frame is None:
+            return
         for link in list(self._links.values()):
-            link.post(encoded)
+            link.post(EncodedMessage(frame))
         for reply in list(self._return_paths.values()):
             reply(message)
 
@@ -220,6 +223,7 @@
         links.update_links,
         discovery.mailbox.post_blocking,
         links.add_return_path,
+        is_encodable,
     )
     node = NodeTask(state, machine, own_node, outputs)
     node.quota_rule = QuotaRule(cfg.quota.window_s, cfg.quota.overage, cfg.quota.slack)
--- a/src/snipecart/control/node.py
+++ b/src/snipecart/control/node.py
@@ -94,6 +94,8 @@
     It must not lose the state: entries are confirmed to the leader right after it."""
     add_return_path: Callable[[VmName, Reply], Any] = lambda vm, reply: None
     """Called with each VM that sent a request, and how to answer it."""
+    is_encodable: Callable[[Any], bool] = lambda command: True
+    """Returns whether the log can store a command and send it to its members."""
 
 
 class DiskQueueFull(Exception):
--- a/src/snipecart/control/requests.py
+++ b/src/snipecart/control/requests.py
@@ -11,11 +11,13 @@
 
 from ..core.failures import Busy
 from ..core.failures import Failure
+from ..core.failures import MessageUnencodable
 from ..core.failures import NotLeader
 from ..core.ids import Instant
 from ..core.ids import UnixMillis
 from ..core.registry import Registry
 from ..core.states import Role
+from ..core.task import contained_failure
 from ..messages.commands import ClaimKey
 from ..messages.commands import Noop
 from ..messages.commands import PutRouting
@@ -38,6 +40,8 @@
 from .raft.status import quorum_status
 
 if TYPE_CHECKING:
+    from contextlib import AbstractContextManager
+
     from ..core.ids import NodeId
     from ..core.ids import RoutingVersion
     from ..core.states import DiskState
@@ -128,6 +132,17 @@
     return Refused(failure.reason, failure.detail)
 
 
+def _contained(req: IncomingMessage) -> AbstractContextManager[None]:
+    """Refuse a request if the block raises.
+
+    Only for requests that don't concern the log. What the leader has leased without an
+    answer stands until the lease ends.
+    """
+    return contained_failure(
+        type(req.message).__name__, lambda failure: req.reply(make_refusal(failure))
+    )
+
+
 @REQUESTS.register(SubmitText)
 @REQUESTS.register(ClaimKey)
 @REQUESTS.register(RecordOutcome)
@@ -142,10 +157,15 @@
 def _propose(
     node: NodeTask, command: Any, reply: Reply, refuse: Reply, now: Instant
 ) -> None:
-    """Propose a command; ``reply`` gets the answer of applying it."""
+    """Propose a command; ``reply`` gets the answer of applying it.
+
+    One that can't be stored would end each process that leads when it is sent again.
+    """
     failure = node.refusal(now)
     if failure is None and len(node.pending_replies) >= MAX_PENDING:
         failure = Busy("too many proposals pending")
+    if failure is None and not node.outputs.is_encodable(command):
+        failure = MessageUnencodable(type(command).__name__)
     if failure is not None:
         refuse(make_refusal(failure))
         return
@@ -210,7 +230,8 @@
     if failure is not None or node.leader_state is None:
         req.reply(make_refusal(failure or NotLeader()))
         return
-    req.reply(node.leader_state.answer(req.message, node.accepted, now))
+    with _contained(req):
+        req.reply(node.leader_state.answer(req.message, node.accepted, now))
 
 
 @REQUESTS.register(QuotaRequest)
@@ -233,7 +254,8 @@
         req.reply(no_grant)
         return
     rule = node.quota_rule
-    req.reply(node.leader_state.answer_quota(req.message, node.machine, rule, now))
+    with _contained(req):
+        req.reply(node.leader_state.answer_quota(req.message, node.machine, rule, now))
 
 
 @REQUESTS.register(FetchText)
@@ -286,4 +308,5 @@
 @REQUESTS.register(StatusQuery)
 def answer_status(node: NodeTask, req: IncomingMessage, now: Instant) -> None:
     """Answer with the status of this process."""
-    req.reply(describe_node(node, now))
+    with _contained(req):
+        req.reply(describe_node(node, now))
--- a/src/snipecart/core/events.py
+++ b/src/snipecart/core/events.py
@@ -56,6 +56,9 @@
 PEER_MESSAGE_REJECTED = register_event(
     1103, logbook.WARNING, "invalid peer message rejected"
 )
+MESSAGE_UNENCODABLE = register_event(
+    1104, logbook.ERROR, "message dropped, as a value exceeds its field"
+)
 BECAME_LEADER = register_event(2001, logbook.NOTICE, "became leader")
 LOST_LEADERSHIP = register_event(2002, logbook.NOTICE, "lost leadership")
 VOTERS_CHANGED = register_event(
@@ -177,6 +180,9 @@
 LOG_LINES_DROPPED = register_event(1007, logbook.WARNING, "log lines dropped")
 SETTINGS_RELOADED = register_event(1008, logbook.NOTICE, "settings reloaded")
 SERVER_ERROR = register_event(1009, logbook.ERROR, "HTTP server reported an error")
+REQUEST_FAILED = register_event(
+    1014, logbook.ERROR, "handling a request failed, it was refused"
+)
 SETTINGS_REFUSED = register_event(1010, logbook.ERROR, "new settings rejected")
 SETTING_CHANGED = register_event(1012, logbook.NOTICE, "setting changed")
 HTTP_THREAD_BLOCKED = register_event(
--- a/src/snipecart/core/failures.py
+++ b/src/snipecart/core/failures.py
@@ -379,6 +379,16 @@
     """Reject a message from a peer that can't be decoded."""
 
 
+class MessageUnencodable(Failure):
+    """Reject a message with a value that its field can't hold."""
+
+
+class RequestFailed(Failure):
+    """Report that handling a request raised an error; the log has the error."""
+
+    category = Category.UNAVAILABLE
+
+
 class LogCorrupt(Failure):
     """Report a stored record that was synced to disk and can't be read back."""
 
--- a/src/snipecart/core/task.py
+++ b/src/snipecart/core/task.py
@@ -19,10 +19,12 @@
 from expression import Ok
 from expression import Result
 
+from .events import REQUEST_FAILED
 from .events import TASK_FAILED
 from .events import emit
 from .failures import Busy
 from .failures import Failure
+from .failures import RequestFailed
 from .ids import Instant
 
 if TYPE_CHECKING:
@@ -56,7 +58,7 @@
     """Ask a task to run ``read`` on itself and to set its result on ``fut``."""
 
     read: Callable[[Any, Instant], Any]
-    fut: Future[Any]
+    fut: Future[Result[Any, Failure]]
 
 
 class Mailbox(Generic[M]):
@@ -119,13 +121,14 @@
     def query(self, read: Callable[[Any, Instant], Any]) -> Result[Any, Failure]:
         """Return what ``read`` returns for the task, run in the task's own thread.
 
-        Return Busy if the mailbox is full or no answer arrives within QUERY_TIMEOUT.
+        Return Busy if the mailbox is full or no answer arrives within QUERY_TIMEOUT,
+        and RequestFailed if ``read`` raises.
         """
-        fut: Future[Any] = Future()
+        fut: Future[Result[Any, Failure]] = Future()
         if not self.post(StateQuery(read, fut)):
             return Error(Busy(f"mailbox of {self.name} is full"))
         try:
-            return Ok(fut.result(QUERY_TIMEOUT))
+            return fut.result(QUERY_TIMEOUT)
         except TimeoutError:
             return Error(Busy(f"{self.name} did not answer in time"))
 
@@ -160,12 +163,35 @@
             self.handle([m for m in batch if not isinstance(m, StateQuery)], now)
             for query in batch:
                 if isinstance(query, StateQuery):
-                    query.fut.set_result(query.read(self, now))
+                    self._answer(query, now)
         except Exception as exc:
             emit(TASK_FAILED, task=self.name, error=repr(exc))
             ANY_TASK_FAILED.set()
             raise
 
+    def _answer(self, query: StateQuery, now: Instant) -> None:
+        """Answer a query; one that fails has changed nothing."""
+
+        def refuse(failure: Failure) -> None:
+            query.fut.set_result(Error(failure))
+
+        with contained_failure(f"query of {self.name}", refuse):
+            query.fut.set_result(Ok(query.read(self, now)))
+
+
+@contextmanager
+def contained_failure(request: str, refuse: Callable[[Failure], Any]) -> Iterator[None]:
+    """Refuse a request if the block that handles it raises, and go on.
+
+    Only for blocks that leave the task's state usable wherever they end. Any other
+    error must end the process, as it would go on with a wrong state.
+    """
+    try:
+        yield
+    except Exception as exc:
+        emit(REQUEST_FAILED, request=request, error=repr(exc))
+        refuse(RequestFailed(request))
+
 
 def monotonic() -> Instant:
     """Return the time of a monotonic clock in seconds.
--- a/src/snipecart/gateway/balancing/task.py
+++ b/src/snipecart/gateway/balancing/task.py
@@ -6,6 +6,7 @@
 from concurrent.futures import Future
 from dataclasses import dataclass
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -22,6 +23,7 @@
 from ...core.registry import Registry
 from ...core.states import SendOutcome
 from ...core.task import Task
+from ...core.task import contained_failure
 from ...core.task import monotonic
 from ...messages.discovery import InstanceChanged
 from ...messages.discovery import RateLimit
@@ -262,17 +264,26 @@
 @HANDLERS.register(SelectServer)
 def handle_select(task: BalancerTask, message: SelectServer, now: Instant) -> None:
     """Admit a request on the link and select a server for its first send."""
-    state, routed = task.state, message.routed
+    with contained_failure("selection", partial(_refuse, message)):
+        message.fut.set_result(_select_first(task.state, message.routed, now))
+
+
+def _select_first(
+    state: BalancerState, routed: RoutedRequest, now: Instant
+) -> Result[Destination, Failure]:
     state.traffic.record(now)
     state.link.record_request(len(routed.req.body), now)
     if not state.link.admit(routed.route, routed.more_urgent_ranks, now):
-        message.fut.set_result(Error(LinkSaturated()))
-        return
+        return Error(LinkSaturated())
     service = state.traffic_splits.next(routed.route)
     state.demand.record(service, routed.route.name, routed.object_key)
     selected = select_server(state, routed, service, frozenset(), now)
     retry_budget(state, service).record_first(now)
-    message.fut.set_result(selected)
+    return selected
+
+
+def _refuse(message: SelectServer | SelectRetryServer, failure: Failure) -> None:
+    message.fut.set_result(Error(failure))
 
 
 @HANDLERS.register(SelectRetryServer)
@@ -280,20 +291,23 @@
     task: BalancerTask, message: SelectRetryServer, now: Instant
 ) -> None:
     """Select a server for a retry if the retry budget allows it."""
-    state = task.state
+    with contained_failure("selection for a retry", partial(_refuse, message)):
+        message.fut.set_result(_select_retry(task.state, message, now))
+
+
+def _select_retry(
+    state: BalancerState, message: SelectRetryServer, now: Instant
+) -> Result[Destination, Failure]:
     budget = retry_budget(state, message.service)
     if message.needs_budget and not budget.try_acquire(state.gateways, now):
-        message.fut.set_result(Error(RetriesSpent(message.service)))
-        return
-    message.fut.set_result(
-        select_server(
-            state,
-            message.routed,
-            message.service,
-            message.tried,
-            now,
-            message.may_have_run,
-        )
+        return Error(RetriesSpent(message.service))
+    return select_server(
+        state,
+        message.routed,
+        message.service,
+        message.tried,
+        now,
+        message.may_have_run,
     )
 
 
--- a/src/snipecart/wire/codec.py
+++ b/src/snipecart/wire/codec.py
@@ -23,7 +23,15 @@
 from ..core.message import record
 from ..core.message import wire_name
 
-__all__ = ["MAX_FRAME_BYTES", "Envelope", "decode", "encode", "messages"]
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "EncodingFailed",
+    "Envelope",
+    "decode",
+    "encode",
+    "is_encodable",
+    "messages",
+]
 
 capnp.remove_import_hook()
 SCHEMA = capnp.load(str(Path(__file__).with_name("schema.capnp")))
@@ -61,8 +69,32 @@
     return TypeAdapter(MESSAGES.get(name))
 
 
+class EncodingFailed(ValueError):
+    """Report a message with a value that its field can't hold."""
+
+
 def encode(message: Any, correlation: int = 0) -> bytes:
-    """Return a message as a Cap'n Proto frame, without its length prefix."""
+    """Return a message as a Cap'n Proto frame, without its length prefix.
+
+    Raise EncodingFailed if a value exceeds its field.
+    """
+    try:
+        return _encode(message, correlation)
+    except (capnp.KjException, OverflowError, ValueError) as exc:
+        reason = str(exc).splitlines()[0]
+        raise EncodingFailed(f"{type(message).__name__}: {reason}") from exc
+
+
+def is_encodable(message: Any) -> bool:
+    """Return whether a message can be a field of another one, as in the log."""
+    try:
+        encode_nested(message)
+    except EncodingFailed:
+        return False
+    return True
+
+
+def _encode(message: Any, correlation: int) -> bytes:
     name = wire_name(type(message))
     fields = _adapter(name).dump_python(message, by_alias=True)
     envelope = SCHEMA.Envelope.new_message(correlation=correlation, **{name: fields})
--- a/src/snipecart/wire/links.py
+++ b/src/snipecart/wire/links.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ..core.events import MESSAGE_UNENCODABLE
 from ..core.events import PEER_CONNECTED
 from ..core.events import PEER_LOST
 from ..core.events import PEER_MESSAGE_REJECTED
@@ -17,6 +18,7 @@
 from ..core.memory import MemoryBudget
 from ..core.task import Task
 from ..core.task import monotonic
+from .codec import EncodingFailed
 from .codec import Envelope
 from .codec import decode
 from .codec import encode
@@ -70,8 +72,9 @@
         """Send all waiting messages in one write; stop if the connection has failed."""
         if not batch:
             return
+        frames = [encode_or_drop(item) for item in batch]
         try:
-            send_frames(self._sock, [_frame_of(item) for item in batch])
+            send_frames(self._sock, [frame for frame in frames if frame is not None])
         except OSError:
             self._stopping.set()
 
@@ -82,10 +85,19 @@
         self._sock.close()
 
 
-def _frame_of(item: Envelope | EncodedMessage) -> bytes:
+def encode_or_drop(item: Envelope | EncodedMessage) -> bytes | None:
+    """Return the frame of a message; None if a value exceeds its field.
+
+    Such a message costs no other one: senders repeat what is still needed, and wait no
+    longer for an answer than for one that was lost.
+    """
     if isinstance(item, EncodedMessage):
         return item.frame
-    return encode(item.message, item.correlation)
+    try:
+        return encode(item.message, item.correlation)
+    except EncodingFailed as exc:
+        emit(MESSAGE_UNENCODABLE, detail=str(exc))
+        return None
 
 
 def read_messages(
--- a/tests/gateway/test_extreme_values.py
+++ b/tests/gateway/test_extreme_values.py
@@ -6,13 +6,19 @@
 import sys
 import threading
 from collections import Counter
+from concurrent.futures import Future
 from types import SimpleNamespace
 
 import pytest
 
 from snipecart.core.states import SendOutcome
+from snipecart.core.task import ANY_TASK_FAILED
+from snipecart.gateway.balancing import task as task_module
 from snipecart.gateway.balancing.routes import RouteIndex
 from snipecart.gateway.balancing.routes import TrafficSplit
+from snipecart.gateway.balancing.task import BalancerTask
+from snipecart.gateway.balancing.task import SelectRetryServer
+from snipecart.gateway.balancing.task import SelectServer
 from snipecart.gateway.balancing.task import View
 from snipecart.gateway.server import _apply_limits
 from tests.gateway.world import Gateway
@@ -84,3 +90,19 @@
         ours.settimeout(server.timeout)
         threading.Timer(0.6, peers.send, [b"x"]).start()
         assert ours.recv(1) == b"x"
+
+
+@pytest.mark.parametrize("message", [SelectServer, SelectRetryServer])
+def test_a_request_that_no_server_can_be_selected_for_ends_no_gateway(
+    message, monkeypatch
+):
+    """Guards against one route that ends each gateway with each of its requests."""
+    gateway = Gateway(make_routing(make_route())).add_instances(make_instance(1))
+    task = BalancerTask(gateway.state, print)
+    routed, fut, retry = gateway.request(), Future(), ("racks", frozenset(), False)
+    is_first = message is SelectServer
+    ask = message(routed, fut) if is_first else message(routed, *retry, fut)
+    monkeypatch.setattr(task_module, "select_server", lambda *args: 1 << "")
+    task._handle([ask])
+    assert fut.result(0).error.reason == "request_failed"
+    assert not ANY_TASK_FAILED.is_set()
