Bound the expected wait that a shed request's answer states

Change: a wait longer than the route's timeout counts as the timeout. Test: failed before the change with an infinite wait.

--- a/src/snipecart/gateway/balancing/shedding.py
+++ b/src/snipecart/gateway/balancing/shedding.py
@@ -161,11 +161,14 @@
     fraction = SHEDDING_RULES.get(state.shedding)(busy)
     if fraction >= 1.0 or _admit(state, server, routed, fraction):
         return None
+    # The wait is unknown, and the ratio infinite, where servers only say that they are
+    # full.
+    expected = min(load.typical_ratio(now) * usual, route.timeout_ms / 1000)
     return ServiceOverloaded(
         f"{server.instance.service} in {server.instance.region}: {busy:.0%} of servers"
         f" have a wait over {allowed * 1000:.0f} ms, {fraction:.0%} of requests are"
         " admitted",
-        max(0.0, load.typical_ratio(now) * usual - allowed),
+        max(0.0, expected - allowed),
     )
 
 
--- a/tests/gateway/test_shedding.py
+++ b/tests/gateway/test_shedding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from copy import deepcopy
 from functools import cache
@@ -248,6 +249,22 @@
     assert rejected(gateway) > 0.5
 
 
+def test_a_rejection_states_a_wait_that_json_has():
+    """Guards against an answer to the client that it can't parse."""
+    gateway = overloaded_gateway(LoadReport(SLOTS, 10**12, SLOTS))
+    for load in gateway.state.service_loads.values():
+        for _ in range(load.samples.maxlen):
+            load.record(math.inf, SLOTS, gateway.now)
+    failures = []
+    while not failures:
+        routed = gateway.request()
+        selected = select_server(
+            gateway.state, routed, "racks", frozenset(), gateway.now
+        )
+        failures += [selected.error] if selected.is_error() else []
+    assert 0 < failures[0].excess_wait <= routed.route.timeout_ms / 1000
+
+
 def test_the_admitted_fraction_never_grows_with_the_number_of_busy_servers():
     rule = SHEDDING_RULES.get("busy-servers")
     fractions = [rule(number / 100) for number in range(101)]
