Store a limit beyond any load so that earlier versions can lead with it

Change: the adapter stores a rate or burst of a million requests, from which it counts as no limit, for all larger ones. A table that is stored already stays as it is; processes of this version lead with it. Tests: two cases that state the stored value.

--- a/src/snipecart/platform/tenants.py
+++ b/src/snipecart/platform/tenants.py
@@ -15,6 +15,7 @@
 from ..core.failures import Failure
 from ..core.failures import Fault
 from ..core.failures import TextInvalid
+from ..text.routing import MAX_LIMIT
 from ..text.routing import digest_key
 from .values import ValueMalformed
 
@@ -91,7 +92,8 @@
         return 0.0
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
     _expect(is_number, path, "a number")
-    return value
+    # Leaders of an earlier version end with a limit that exceeds their arithmetic.
+    return min(value, MAX_LIMIT)
 
 
 def _is_int(value: Any) -> bool:
--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import sys
 from types import SimpleNamespace
 
 import logbook
@@ -13,6 +14,7 @@
 from snipecart.platform.manifest import decode_manifest
 from snipecart.program.answers import describe_failure
 from snipecart.program.answers import to_json
+from snipecart.text.routing import MAX_LIMIT
 from snipecart.text.routing import digest_key
 from snipecart.text.routing import dump_routing
 
@@ -98,6 +100,12 @@
     assert OTHER.encode() not in to_json(describe_failure(failure))
 
 
+@pytest.mark.parametrize("field", ["rate_per_s", "burst"])
+def test_a_stored_limit_is_one_that_leaders_of_earlier_versions_can_hold(field):
+    organisation = decode({**TENANT, field: sys.float_info.max}).ok.organisations[0]
+    assert getattr(organisation, field) == MAX_LIMIT and not organisation.is_limited
+
+
 def test_a_key_as_a_repeated_field_is_not_quoted():
     document = json.dumps({**MANIFEST, "tenants": [{"api_keys": 0}]})
     keys = f'{{"{SECRET}": 1, "{SECRET}": 2}}'
