--- a/bench/keys.py
+++ b/bench/keys.py
@@ -19,7 +19,7 @@
 from snipecart.gateway.authentication import check_key
 from snipecart.gateway.authentication import read_key
 from snipecart.gateway.balancing.routes import RouteIndex
-from snipecart.gateway.balancing.task import View
+from snipecart.gateway.balancing.view import View
 from snipecart.gateway.key_lease import KeyLease
 from snipecart.gateway.key_lease import TableProof
 from snipecart.gateway.pipeline import GatewayContext
--- a/src/snipecart/gateway/balancing/task.py
+++ b/src/snipecart/gateway/balancing/task.py
@@ -4,8 +4,6 @@
 
 from collections.abc import Callable
 from concurrent.futures import Future
-from dataclasses import dataclass
-from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
 from typing import Any
@@ -16,9 +14,7 @@
 from ...core.failures import Busy
 from ...core.failures import Failure
 from ...core.failures import LinkSaturated
-from ...core.ids import InstanceId
 from ...core.ids import Instant
-from ...core.ids import Millis
 from ...core.ids import ServiceName
 from ...core.registry import Registry
 from ...core.states import SendOutcome
@@ -26,13 +22,17 @@
 from ...core.task import contained_failure
 from ...core.task import monotonic
 from ...messages.discovery import InstanceChanged
-from ...messages.discovery import RateLimit
 from ...messages.discovery import SyncAnswer
 from ...messages.discovery import digest_instances
 from ..metrics import KEYS_REQUIRED
 from ..metrics import ORGANISATIONS
 from ..metrics import ROUTING_VERSION
 from ..request import SendResult
+from .messages import DestinationFuture
+from .messages import RecordSend
+from .messages import SelectRetryServer
+from .messages import SelectServer
+from .messages import SetBudgetRule
 from .outcome import record_send
 from .outcome import retry_budget
 from .rate_limits import unlisted_limits
@@ -41,12 +41,15 @@
 from .state import apply_departure
 from .state import apply_instance
 from .state import apply_sync
+from .view import NOTHING_APPLIED
+from .view import SyncPoint
+from .view import View
+from .view import unserved_services
 
 if TYPE_CHECKING:
+    from ...core.ids import InstanceId
     from ..request import Destination
     from ..request import RoutedRequest
-    from .budget import BudgetRule
-    from .routes import RouteIndex
 
 SELECT_TIMEOUT = 1.0
 """Longest time in seconds that a worker waits for the task to select a server."""
@@ -55,100 +58,11 @@
     SendOutcome.CANCELLED, 0.0, failure=Busy("server was selected too late")
 )
 
-DestinationFuture = Future[Result["Destination", Failure]]
-
-
-@dataclass(frozen=True)
-class SelectServer:
-    """Ask for a backend server for a request's first send."""
-
-    routed: RoutedRequest
-    fut: DestinationFuture
-
-
-@dataclass(frozen=True)
-class SelectRetryServer:
-    """Ask for another backend server after a send without an answer."""
-
-    routed: RoutedRequest
-    service: ServiceName
-    tried: frozenset[InstanceId]
-    """Instances that the request was sent to before."""
-    needs_budget: bool
-    """Whether the last send reached a backend server, so the retry uses the budget."""
-    fut: DestinationFuture
-    may_have_run: bool = False
-    """Whether a backend server may have run the request."""
-
-
-@dataclass(frozen=True)
-class RecordSend:
-    """Report how a send ended, so that its slot counts as free."""
-
-    routed: RoutedRequest
-    destination: Destination
-    sent: SendResult
-
 
 class RetriesSpent(Failure):
     """Reject a retry beyond the retry budget."""
 
 
-@dataclass(frozen=True)
-class SyncPoint:
-    """Name a state of a control process's list of backend servers."""
-
-    source: str
-    """Run of the control process; empty before the first answer."""
-    revision: int
-
-
-NOTHING_APPLIED = SyncPoint("", 0)
-
-
-@dataclass(frozen=True)
-class SetBudgetRule:
-    """Replace the rule of the retry budgets."""
-
-    rule: BudgetRule
-
-
-@dataclass(frozen=True)
-class View:
-    """Describe the state for other threads; replaced as a whole, never changed."""
-
-    index: RouteIndex | None = None
-    evacuation_index: int = 0
-    digest: int = digest_instances(())
-    """Digest of all stored instances."""
-    applied: SyncPoint = NOTHING_APPLIED
-    """Latest answer of the followed control process that the state includes."""
-    unserved: frozenset[ServiceName] = frozenset()
-    """Services that routes name and no stored server belongs to."""
-    requests_per_s: int = 1
-    """Requests from clients, rounded."""
-    rate_limits: tuple[RateLimit, ...] = ()
-    """Rate limits in recent answers that differ from those listed by control."""
-    published_at: Instant = Instant(0.0)
-    limits_organisations: bool = False
-    """Whether the routing table has organisations with a rate limit."""
-
-    def aged_rate_limits(self, now: Instant) -> tuple[RateLimit, ...]:
-        """Return ``rate_limits`` with their age at this moment."""
-        passed = max(0, int((now - self.published_at) * 1000))
-        return tuple(
-            replace(item, age=Millis(item.age + passed)) for item in self.rate_limits
-        )
-
-
-def unserved_services(state: BalancerState) -> frozenset[ServiceName]:
-    """Return the services that routes name and no stored server belongs to."""
-    if state.index is None:
-        return frozenset()
-    served = {item.instance.service for item in state.servers.values()}
-    return state.index.routed_services - served
-
-
 Handler = Callable[["BalancerTask", Any, Instant], None]
 
 HANDLERS: Registry[type[Any], Handler] = Registry("handlers of balancer messages")
--- a/src/snipecart/gateway/factory.py
+++ b/src/snipecart/gateway/factory.py
@@ -23,10 +23,10 @@
 from .backends import BackendClient
 from .balancing.budget import BudgetRule
 from .balancing.link import LinkBudget
+from .balancing.messages import SetBudgetRule
 from .balancing.state import BalancerState
 from .balancing.state import Locality
 from .balancing.task import BalancerTask
-from .balancing.task import SetBudgetRule
 from .key_lease import KeyLease
 from .metrics import ANSWER_BYTES
 from .metrics import BODY_BYTES
--- a/src/snipecart/gateway/followed_list.py
+++ b/src/snipecart/gateway/followed_list.py
@@ -6,12 +6,12 @@
 from typing import TYPE_CHECKING
 
 from ..core.ids import Instant
-from .balancing.task import SyncPoint
+from .balancing.view import SyncPoint
 from .peers import PEER_TIMEOUT_SECONDS
 
 if TYPE_CHECKING:
     from ..messages.discovery import SyncAnswer
-    from .balancing.task import View
+    from .balancing.view import View
 
 READY_TIMEOUT_SECONDS = 1.0
 """Time after the first answer at which an incomplete list of servers is accepted.
--- a/src/snipecart/gateway/pipeline.py
+++ b/src/snipecart/gateway/pipeline.py
@@ -30,8 +30,8 @@
 from ..core.states import SendOutcome
 from ..core.task import monotonic
 from .authentication import check_key
+from .balancing.messages import RecordSend
 from .balancing.quota import Admission
-from .balancing.task import RecordSend
 from .key_lease import KeyLease
 from .metrics import RETRIES
 from .metrics import SENDS
--- a/tests/control/rate_simulation.py
+++ b/tests/control/rate_simulation.py
@@ -9,8 +9,8 @@
 
 from snipecart.core.ids import Instant
 from snipecart.core.states import SendOutcome
+from snipecart.gateway.balancing.messages import SelectServer
 from snipecart.gateway.balancing.outcome import record_send
-from snipecart.gateway.balancing.task import SelectServer
 from snipecart.gateway.request import HttpRequest
 from snipecart.gateway.request import RoutedRequest
 from snipecart.gateway.request import SendResult
--- a/tests/control/test_quota_messages.py
+++ b/tests/control/test_quota_messages.py
@@ -16,7 +16,7 @@
 from snipecart.control.raft.state import RaftState
 from snipecart.core.ids import Instant
 from snipecart.gateway.balancing.quota import Admission
-from snipecart.gateway.balancing.task import View
+from snipecart.gateway.balancing.view import View
 from snipecart.messages.commands import Node
 from snipecart.messages.quota import QuotaAnswer
 from snipecart.messages.quota import QuotaRequest
--- a/tests/control/test_retry_budgets.py
+++ b/tests/control/test_retry_budgets.py
@@ -8,7 +8,7 @@
 
 from snipecart.core.ids import Instant
 from snipecart.gateway.balancing.budget import BudgetRule
-from snipecart.gateway.balancing.task import SelectRetryServer
+from snipecart.gateway.balancing.messages import SelectRetryServer
 from tests.control.rate_simulation import SETTLED_SECONDS
 from tests.control.rate_simulation import RateSimulation
 
--- a/tests/gateway/test_authentication.py
+++ b/tests/gateway/test_authentication.py
@@ -17,9 +17,9 @@
 from snipecart.gateway.authentication import authenticate
 from snipecart.gateway.authentication import read_key
 from snipecart.gateway.balancing.admission import wait_by_target
+from snipecart.gateway.balancing.messages import RecordSend
 from snipecart.gateway.balancing.routes import RouteIndex
-from snipecart.gateway.balancing.task import RecordSend
-from snipecart.gateway.balancing.task import View
+from snipecart.gateway.balancing.view import View
 from snipecart.gateway.key_lease import NO_PROOF
 from snipecart.gateway.key_lease import KeyLease
 from snipecart.gateway.key_lease import TableProof
--- a/tests/gateway/test_extreme_values.py
+++ b/tests/gateway/test_extreme_values.py
@@ -14,12 +14,12 @@
 from snipecart.core.states import SendOutcome
 from snipecart.core.task import ANY_TASK_FAILED
 from snipecart.gateway.balancing import task as task_module
+from snipecart.gateway.balancing.messages import SelectRetryServer
+from snipecart.gateway.balancing.messages import SelectServer
 from snipecart.gateway.balancing.routes import RouteIndex
 from snipecart.gateway.balancing.routes import TrafficSplit
 from snipecart.gateway.balancing.task import BalancerTask
-from snipecart.gateway.balancing.task import SelectRetryServer
-from snipecart.gateway.balancing.task import SelectServer
-from snipecart.gateway.balancing.task import View
+from snipecart.gateway.balancing.view import View
 from snipecart.gateway.server import _apply_limits
 from tests.gateway.world import Gateway
 from tests.gateway.world import make_instance
--- a/tests/gateway/test_key_requests.py
+++ b/tests/gateway/test_key_requests.py
@@ -14,7 +14,7 @@
 from snipecart.core.failures import NoEndpoint
 from snipecart.core.memory import MemoryBudget
 from snipecart.core.task import running
-from snipecart.gateway.balancing.task import View
+from snipecart.gateway.balancing.view import View
 from snipecart.gateway.key_lease import KeyLease
 from snipecart.gateway.metrics import ANSWER_BYTES
 from snipecart.gateway.metrics import BODY_BYTES
--- a/tests/gateway/test_server.py
+++ b/tests/gateway/test_server.py
@@ -18,7 +18,7 @@
 from snipecart.core.task import monotonic
 from snipecart.gateway import server as server_module
 from snipecart.gateway.balancing.routes import RouteIndex
-from snipecart.gateway.balancing.task import View
+from snipecart.gateway.balancing.view import View
 from snipecart.gateway.metrics import ANSWER_BYTES
 from snipecart.gateway.metrics import BODY_BYTES
 from snipecart.gateway.request import AnsweredRequest
--- a/tests/gateway/test_short_reports.py
+++ b/tests/gateway/test_short_reports.py
@@ -7,7 +7,7 @@
 import pytest
 
 from snipecart.core.ids import Instant
-from snipecart.gateway.balancing.task import View
+from snipecart.gateway.balancing.view import View
 from snipecart.gateway.following import HOME_READY_SECONDS
 from snipecart.gateway.following import HOME_SPREAD_SECONDS
 from snipecart.gateway.following import Candidate
--- a/tests/gateway/test_sync.py
+++ b/tests/gateway/test_sync.py
@@ -12,8 +12,8 @@
 from snipecart.core.states import MemberState
 from snipecart.gateway import sync as sync_module
 from snipecart.gateway.balancing.demand import DemandTaken
-from snipecart.gateway.balancing.task import SyncPoint
-from snipecart.gateway.balancing.task import View
+from snipecart.gateway.balancing.view import SyncPoint
+from snipecart.gateway.balancing.view import View
 from snipecart.gateway.followed_list import FollowedList
 from snipecart.gateway.key_lease import KeyLease
 from snipecart.gateway.key_lease import TableProof
