Share the sending of heartbeats in the tests with real processes

Cause: four fixtures wrote the same thread that reports backend servers. Change: a context manager beside the fake backend servers.

--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -277,10 +277,37 @@
         yield fleet
 
 
+@contextmanager
+def sending_heartbeats(
+    fleet: PlatformFleet, *backends: Backend, interval: float = 0.5
+) -> Iterator[None]:
+    """Report backend servers at an interval in seconds until the block ends."""
+    stop = threading.Event()
+
+    def send() -> None:
+        while not stop.wait(interval):
+            for backend in backends:
+                fleet.report(backend)
+
+    reporter = threading.Thread(target=send)
+    reporter.start()
+    try:
+        yield
+    finally:
+        stop.set()
+        reporter.join()
+
+
 def _end_all(fleet: PlatformFleet) -> None:
     for process in fleet.processes.values():
         process.kill()
         process.wait(20)
 
 
-__all__ = ["Backend", "PlatformFleet", "platform_fleet", "wait_for"]
+__all__ = [
+    "Backend",
+    "PlatformFleet",
+    "platform_fleet",
+    "sending_heartbeats",
+    "wait_for",
+]
--- a/tests/process/test_extreme_texts.py
+++ b/tests/process/test_extreme_texts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import threading
 import time
 
 import pytest
@@ -11,6 +10,7 @@
 from snipecart.platform import names
 from tests.platform.fleet import Backend
 from tests.platform.fleet import platform_fleet
+from tests.platform.fleet import sending_heartbeats
 from tests.platform.fleet import wait_for
 from tests.platform.test_decoders import MANIFEST
 from tests.platform.test_decoders import ROUTE
@@ -56,18 +56,9 @@
     with platform_fleet(tmp_path, NET) as fleet:
         backend = Backend(f"{NET}.3.1", 1, "racks", "north-a")
         put(fleet, 1, json.dumps(SOUND).encode())
-        stop = threading.Event()
-
-        def send_heartbeats():
-            while not stop.wait(0.5):
-                fleet.report(backend)
-
-        reporter = threading.Thread(target=send_heartbeats, daemon=True)
-        reporter.start()
-        wait_for(lambda: fleet.is_ready("entry-1") and fleet.is_ready("entry-2"))
-        yield fleet
-        stop.set()
-        reporter.join(10)
+        with sending_heartbeats(fleet, backend):
+            wait_for(lambda: fleet.is_ready("entry-1") and fleet.is_ready("entry-2"))
+            yield fleet
         backend.close()
 
 
--- a/tests/process/test_placement.py
+++ b/tests/process/test_placement.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import threading
 import time
 
 import pytest
@@ -12,6 +11,7 @@
 from snipecart.platform import names
 from tests.platform.fleet import Backend
 from tests.platform.fleet import platform_fleet
+from tests.platform.fleet import sending_heartbeats
 from tests.platform.fleet import wait_for
 from tests.platform.test_decoders import ROUTE
 from tests.process.test_platform import make_manifest
@@ -32,19 +32,9 @@
             for number, zone in enumerate(zones, 1)
         ]
         assert fleet.control("POST", names.PUT_ROUTING, make_manifest(1, ROUTE)) == 200
-        stop_reporting = threading.Event()
-
-        def send_heartbeats():
-            while not stop_reporting.wait(0.3):
-                for backend in fleet.backends:
-                    fleet.report(backend)
-
-        thread = threading.Thread(target=send_heartbeats)
-        thread.start()
-        wait_for(lambda: fleet.is_ready("entry-1") and fleet.is_ready("entry-2"))
-        yield fleet
-        stop_reporting.set()
-        thread.join()
+        with sending_heartbeats(fleet, *fleet.backends, interval=0.3):
+            wait_for(lambda: fleet.is_ready("entry-1") and fleet.is_ready("entry-2"))
+            yield fleet
         for backend in fleet.backends:
             backend.close()
 
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -17,6 +17,7 @@
 from tests.platform.fleet import INNER
 from tests.platform.fleet import Backend
 from tests.platform.fleet import platform_fleet
+from tests.platform.fleet import sending_heartbeats
 from tests.platform.fleet import wait_for
 from tests.platform.test_decoders import MANIFEST
 from tests.platform.test_decoders import ROUTE
@@ -51,18 +52,8 @@
         for backend in fleet.backends:
             assert fleet.report(backend) == 200
         wait_for(lambda: fleet.is_ready("entry-1") and fleet.is_ready("entry-2"))
-        stop_reporting = threading.Event()
-
-        def send_heartbeats():
-            while not stop_reporting.wait(0.5):
-                for backend in fleet.backends:
-                    fleet.report(backend)
-
-        thread = threading.Thread(target=send_heartbeats)
-        thread.start()
-        yield fleet
-        stop_reporting.set()
-        thread.join()
+        with sending_heartbeats(fleet, *fleet.backends):
+            yield fleet
         for backend in fleet.backends:
             backend.close()
 
--- a/tests/process/test_revocation.py
+++ b/tests/process/test_revocation.py
@@ -4,7 +4,6 @@
 
 import json
 import signal
-import threading
 import time
 
 import pytest
@@ -15,6 +14,7 @@
 from tests.platform.fleet import INNER
 from tests.platform.fleet import Backend
 from tests.platform.fleet import platform_fleet
+from tests.platform.fleet import sending_heartbeats
 from tests.platform.fleet import wait_for
 from tests.platform.test_decoders import MANIFEST
 from tests.platform.test_decoders import ROUTE
@@ -51,18 +51,9 @@
         backend = fleet.backend = Backend(f"{NET}.3.1", 1, "racks", "north-a")
         put_table(fleet, 1, KEPT, REMOVED)
         assert fleet.report(backend) == 200
-        stop = threading.Event()
-
-        def send_heartbeats():
-            while not stop.wait(0.5):
-                fleet.report(backend)
-
-        reporter = threading.Thread(target=send_heartbeats, daemon=True)
-        reporter.start()
-        wait_for(lambda: fleet.is_ready("entry-1") and fleet.is_ready("entry-2"))
-        yield fleet
-        stop.set()
-        reporter.join(10)
+        with sending_heartbeats(fleet, backend):
+            wait_for(lambda: fleet.is_ready("entry-1") and fleet.is_ready("entry-2"))
+            yield fleet
         backend.close()
 
 
