Let the soak's servers drop a request whose body breaks off

A gateway that is killed between the head and the body of a request leaves such a connection; no real server has a request then.

Change: such a request is not run, and its connection is closed. What is checked of requests that run stays as it was.

--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -151,7 +151,12 @@
     def do_GET(self) -> None:
         """Run a request, or refuse it."""
         server, conduct = self.soak_server, self.soak_server.conduct
-        body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        size = int(self.headers.get("Content-Length") or 0)
+        body = self.rfile.read(size)
+        if len(body) < size:
+            # The gateway has ended, or its client has left.
+            self.close_connection = True
+            return
         request = self.headers.get("Request-Id", "")
         if self.headers.get("Expect-Instance") != server.name:
             self._write(self._head(421, b"", ("Not-Executed", "1")))
